Notes: starts and completions are recorded in one change, pages follow

A pass touches most of some 50 pages; 21 changes a second could not write them, and pages with low numbers went first, so that high ones starved. Now new starts and completions go into up to six notes, one change for hundreds; pages and chunks follow by what they take out of the notes. Of two records of a task the newer start counts (attempts rise), a gang's replacements carry a serial, and a machine found on two pages is written where it stays first. Submissions keep a quarter of the changes to themselves.

--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -74,6 +74,7 @@
         self.obtained: set[tuple[str, str, bool]] = set()
         self._attempts = 0
         # What the recorder has to write, and what the planner should look at again.
+        self.planned: list[Placement] = []
         self.dirty_machines: set[str] = set()
         self.dirty_jobs: set[str] = set()
         self.changed = True
@@ -101,6 +102,7 @@
             return
         run.over = ended.state
         run.unsaved.clear()
+        run.noted.clear()
         for placement in list(run.placed.values()):
             self.stop(placement, ZERO, now)
         self._retire(run)
@@ -142,6 +144,9 @@
         usage.gpus += spec.gpus
         machine.idle_since = NEVER
         if phase == Phase.PLANNED:
+            if spec.kind == GANG:
+                placement.serial = run.serial
+            self.planned.append(placement)
             self.dirty_machines.add(machine.name)
             log.debug("placing %s on %s (%s)", placement.name, machine.name, spec.job_class)
         return placement
@@ -153,13 +158,18 @@
             machine = self.machines[name] = Machine(name, kind, zone, spot, known_since=now)
         return machine
 
-    def restore(self, run: JobRun, index: int, machine: Machine, attempt: int, now: datetime) -> None:
+    def restore(
+        self, run: JobRun, index: int, machine: Machine, attempt: int, now: datetime, serial: int = 0
+    ) -> Placement:
         """A task of an earlier leader's record counts as there until proven gone."""
         placement = self.place(run, index, machine, attempt, now, Phase.RECORDED)
+        placement.serial = serial
         if run.spec.kind == GANG:
-            run.attempt = attempt
+            run.attempt = max(run.attempt, attempt)
+            run.serial = max(run.serial, serial)
         if run.over:
             self.stop(placement, ZERO, now)
+        return placement
 
     def remove(self, placement: Placement, now: datetime) -> None:
         """The task is proven gone from its machine."""
@@ -531,6 +541,26 @@
             if spec.checkpoint_s > 0 or placement.phase in (Phase.PLANNED, Phase.READY) or spec.kind == SERVICE:
                 self.stop_gently(placement, now)
 
+    def report(self) -> None:
+        """Tell an operator how the work stands."""
+        phases = [0] * len(Phase)
+        waiting = 0
+        for run in self.jobs.values():
+            waiting += run.pending
+            for placement in run.placed.values():
+                phases[placement.phase] += 1
+        log.info(
+            "%d jobs, %d tasks wait, %d being recorded, %d to be sent, %d sent, %d seen, %d from records; "
+            "%d machines, %d up, %.0f CPUs and %.0f GPUs free",
+            len(self.jobs),
+            waiting,
+            *phases,
+            len(self.machines),
+            sum(m.shown for m in self.machines.values()),
+            sum(m.free_cpus for m in self.machines.values() if m.shown),
+            sum(m.free_gpus for m in self.machines.values() if m.shown),
+        )
+
     def silent(self, machine: Machine, now: datetime) -> timedelta:
         return now - max(machine.heard, self.began)
 
--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -33,6 +33,8 @@
     running_since: datetime | None = None
     halt_at: datetime | None = None
     halt_grace: timedelta = timedelta(0)
+    serial: int = 0  # tells a gang's replacements from the tasks that they replace: the attempt is the same
+    paged: bool = False  # on its machine's page in the state service, not in a note alone
 
     @property
     def name(self) -> str:
@@ -58,7 +60,11 @@
     placed: dict[int, Placement] = field(default_factory=dict)
     # Indices whose completion is not yet in the state service: nobody may hear of it, no `clear`.
     unsaved: set[int] = field(default_factory=set)
+    # Indices whose completion is in a note, but not yet in the job's own chunks.
+    noted: set[int] = field(default_factory=set)
     chunk_versions: dict[int, int] = field(default_factory=dict)
+    chunks_tried: set[int] = field(default_factory=set)  # written, or perhaps written
+    serial: int = 0  # of the newest replacement in a gang
     over: str = ""  # "", "done" or "cancelled"; only what the state service holds
     failures: int = 0
     error_machines: set[str] = field(default_factory=set)
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -302,6 +302,9 @@
         return 0
     if not run.placed:
         run.attempt = board.next_attempt()
+    else:
+        # The record may still name the places of those that are replaced, with the same attempt.
+        run.serial += 1
     placed = 0
     for machine, tasks in best:
         for _ in range(tasks):
--- a/roseweir/placement/record.py
+++ b/roseweir/placement/record.py
@@ -1,18 +1,27 @@
-"""The write-ahead record: which tasks may be on which machine, packed into pages.
+"""The write-ahead record: which tasks may be on which machine, in pages and notes.
 
-A page is one value of the state service and holds several machines, so that a pass that touches
-many machines costs few changes. Pages are guarded by their own versions as well as the leader's:
-a late write of an older page then fails instead of hiding newer placements.
+A page is one value of the state service and holds all that is known of several machines. With
+hundreds of machines a pass touches every page, and writing them all before a task may start took
+seconds (2,000 to 3,000 tasks waited so on the grown belanger-cadastre). So what is new goes into a
+note first, one change for hundreds of starts and completions. Pages follow as the state service's
+limits allow, and what they hold is left out when the note is next written.
+
+Pages and notes are guarded by their own versions as well as the leader's: a late write of an older
+one then fails instead of hiding newer placements.
 """
 
+from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
 
 from roseweir.placement.board import Board
-from roseweir.placement.model import Machine
+from roseweir.placement.model import JobRun, Machine, Placement
 
 PLACES = "places/"
+NOTE = "note-"
+# So many notes of 8 KiB fit one transaction beside a few other changes.
+NOTES = 6
 
 # Sizes are measured on the encoded entry, and left room to grow while a page is filled.
 FILL = 0.8
@@ -20,12 +29,22 @@
 PAGE_MOST = 8 * 1024
 
 
+def start_key(placement: Placement) -> str:
+    """The attempt, and for a gang's replacements which one: of two records the newer one counts."""
+    return f"{placement.attempt}.{placement.serial}" if placement.serial else str(placement.attempt)
+
+
+def read_start_key(key: str) -> tuple[int, int]:
+    attempt, _, serial = key.partition(".")
+    return int(attempt), int(serial or 0)
+
+
 def entry_of(machine: Machine) -> dict[str, dict[str, list[int]]]:
     """{job: {attempt: [indices]}} of all tasks that may be on the machine."""
     entry: dict[str, dict[str, list[int]]] = {}
     for placement in machine.placements.values():
         attempts = entry.setdefault(placement.run.spec.id, {})
-        attempts.setdefault(str(placement.attempt), []).append(placement.index)
+        attempts.setdefault(start_key(placement), []).append(placement.index)
     return entry
 
 
@@ -33,11 +52,81 @@
     return f"{PLACES}{number:04d}"
 
 
+def note_key(number: int) -> str:
+    return f"{PLACES}{NOTE}{number}"
+
+
+@dataclass(slots=True)
+class Note:
+    """Starts and completions that are nowhere else yet, with an estimate of their encoded size."""
+
+    version: int = 0
+    starts: list[Placement] = field(default_factory=list)
+    done: list[tuple[JobRun, int]] = field(default_factory=list)
+    size: int = 0
+    _seen: set[object] = field(default_factory=set)
+
+    def prune(self) -> None:
+        """Leave out what pages and chunks hold by now, and what is over."""
+        starts, done = self.starts, self.done
+        self.starts, self.done, self.size, self._seen = [], [], 64, set()
+        for placement in starts:
+            if not placement.paged and placement.run.placed.get(placement.index) is placement:
+                self.start(placement)
+        for run, index in done:
+            if index in run.noted and not run.over:
+                self.completion(run, index)
+
+    def start(self, placement: Placement) -> None:
+        job, machine = placement.run.spec.id, placement.machine
+        self._once((job,), len(job) + 6)
+        self._once((job, placement.attempt, placement.serial), 24)
+        self._once((machine.name,), len(machine.name) + 8)
+        self._once((machine.type.name, machine.zone, machine.spot), len(machine.type.name) + len(machine.zone) + 14)
+        self._once((job, placement.attempt, placement.serial, machine.name), len(machine.name) + 6)
+        self.size += len(str(placement.index)) + 1
+        self.starts.append(placement)
+
+    def completion(self, run: JobRun, index: int) -> None:
+        self._once((run.spec.id, "done"), len(run.spec.id) + 6)
+        self.size += len(str(index)) + 1
+        self.done.append((run, index))
+
+    def _once(self, key: tuple[object, ...], size: int) -> None:
+        if key not in self._seen:
+            self._seen.add(key)
+            self.size += size
+
+    def value(self) -> dict[str, Any]:
+        kinds: dict[tuple[str, str, bool], int] = {}
+        machines: dict[str, int] = {}
+        starts: dict[str, dict[str, dict[str, list[int]]]] = {}
+        for p in self.starts:
+            name = p.machine.name
+            kind = (p.machine.type.name, p.machine.zone, p.machine.spot)
+            machines[name] = kinds.setdefault(kind, len(kinds))
+            attempts = starts.setdefault(p.run.spec.id, {})
+            attempts.setdefault(start_key(p), {}).setdefault(name, []).append(p.index)
+        done: dict[str, list[int]] = {}
+        for run, index in self.done:
+            done.setdefault(run.spec.id, []).append(index)
+        return {"kinds": list(kinds), "machines": machines, "starts": starts, "done": done}
+
+
+def mentioned(value: dict[str, Any]) -> tuple[set[str], set[str]]:
+    """The machine types and the jobs whose places a page or a note tells of."""
+    if "starts" in value:
+        return {kind[0] for kind in value["kinds"]}, set(value["starts"])
+    details = value["machines"].values()
+    return {detail["type"] for detail in details}, {job for detail in details for job in detail["tasks"]}
+
+
 class Pages:
     def __init__(self, value_bytes: int) -> None:
         self.room = int(min(value_bytes, PAGE_MOST) * FILL)
         self.pages: dict[int, dict[str, dict[str, Any]]] = {}
         self.sizes: dict[int, dict[str, int]] = {}
+        self.totals: dict[int, int] = {}  # of sizes, by page
         self.versions: dict[int, int] = {}
         self.dirty: set[int] = set()
         self.of: dict[str, int] = {}
@@ -49,17 +138,24 @@
         self.versions[number] = version
         self.pages[number] = {}
         self.sizes[number] = {}
+        self.totals[number] = 0
         for name, detail in machines.items():
             if name in self.of:
-                # Caught between two pages: it counts with the tasks of both.
-                _merge(self.pages[self.of[name]][name]["tasks"], detail["tasks"])
-                self.dirty.add(number)
+                # Caught between two pages: it counts with the tasks of both. The page that loses it
+                # must not be written before the one that keeps it.
+                kept = self.of[name]
+                _merge(self.pages[kept][name]["tasks"], detail["tasks"])
+                self.dirty |= {number, kept}
+                self.after.setdefault(number, set()).add(kept)
                 continue
             self._set(number, name, detail)
 
     def _set(self, number: int, name: str, detail: dict[str, Any]) -> None:
         self.pages.setdefault(number, {})[name] = detail
-        self.sizes.setdefault(number, {})[name] = len(orjson.dumps(detail)) + len(name) + 8
+        sizes = self.sizes.setdefault(number, {})
+        size = len(orjson.dumps(detail)) + len(name) + 8
+        self.totals[number] = self.totals.get(number, 0) + size - sizes.get(name, 0)
+        sizes[name] = size
         self.versions.setdefault(number, 0)
         self.of[name] = number
 
@@ -67,7 +163,7 @@
         number = self.of.pop(name, None)
         if number is not None:
             del self.pages[number][name]
-            del self.sizes[number][name]
+            self.totals[number] -= self.sizes[number].pop(name)
             self.dirty.add(number)
 
     def update(self, board: Board, name: str) -> None:
@@ -83,7 +179,7 @@
             "spot": machine.spot,
             "tasks": entry,
             # Images are no promise, but a new leader that knows them places better.
-            "images": dict(machine.images),
+            "images": {image: round(size, 2) for image, size in machine.images.items()},
             "rented": machine.rented,
         }
         old: int | None = None
@@ -92,7 +188,7 @@
             return
         size = len(orjson.dumps(detail)) + len(name) + 8
         if number is not None:
-            others = sum(self.sizes[number].values()) - self.sizes[number][name]
+            others = self.totals[number] - self.sizes[number][name]
             if others + size > self.room and others > 0:
                 self._drop(name)
                 old, number = number, None
@@ -105,8 +201,8 @@
 
     def _place_for(self, size: int) -> int:
         for number in sorted(self.pages):
-            # Half a page is left for the growth of the entries already there.
-            if sum(self.sizes[number].values()) + size <= self.room // 2:
+            # A third of a page is left for the growth of the entries already there.
+            if self.totals[number] + size <= self.room * 2 // 3:
                 return number
         return max(self.pages, default=-1) + 1
 
--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 from roseweir.bell import Bell
-from roseweir.clock import pause, steady
+from roseweir.clock import NEVER, pause, seconds, steady
 from roseweir.http import Unreachable
 from roseweir.leadership.messages import LEADER
 from roseweir.placement.board import Board
-from roseweir.placement.model import JobRun, Phase, Placement
-from roseweir.placement.record import PLACES, Pages, page_key
+from roseweir.placement.model import JobRun, Machine, Phase, Placement
+from roseweir.placement.record import NOTE, NOTES, PLACES, Note, Pages, mentioned, note_key, page_key, read_start_key
 from roseweir.state import Conflict, Entry, StateClient, Trouble
 from roseweir.state.client import delete, put
 from roseweir.submissions.jobs import (
@@ -26,7 +26,7 @@
     read_spec,
     stored,
 )
-from roseweir.submissions.progress import chunk_key, chunk_keys, decode_bits, encode_bits
+from roseweir.submissions.progress import chunk_key, decode_bits, encode_bits
 
 log = logging.getLogger(__name__)
 
@@ -34,6 +34,18 @@
 # Records of tasks that are gone can wait: they only make a new leader more careful.
 TIDY = timedelta(seconds=1)
 TXN_BYTES = 56 * 1024
+# Batches are so far apart that each may have this many changes within the state service's limit.
+BATCH_CHANGES = 2.0
+# Shares of a second's changes: what the recorder leaves to submissions, and what it keeps of the
+# rest for notes and ends of jobs before pages and chunks get any.
+KEPT, FOLD_ABOVE = 0.25, 0.25
+# When the notes are this full, pages and chunks are written without waiting for TIDY; when they are
+# twice as full, with all that the recorder may spend.
+PRESSING = 0.25
+# A batch's first note is written if it is no fuller than this, further ones likewise.
+WORTH, WORTH_MORE = 0.9, 0.5
+# Bytes that a start and a completion take of a note.
+START_BYTES, DONE_BYTES = 25, 5
 
 
 class Deposed(Exception):
@@ -44,22 +56,47 @@
 class Batch:
     guards: dict[str, int] = field(default_factory=dict)
     ops: list[dict[str, Any]] = field(default_factory=list)
+    notes: list[tuple[Note, list[Placement], list[tuple[JobRun, int]]]] = field(default_factory=list)
     pages: list[int] = field(default_factory=list)
-    planned: list[Placement] = field(default_factory=list)
-    saved: list[tuple[JobRun, set[int]]] = field(default_factory=list)
-    chunks: list[tuple[JobRun, int]] = field(default_factory=list)
+    paged: list[Placement] = field(default_factory=list)
+    chunks: list[tuple[JobRun, int, set[int]]] = field(default_factory=list)
     finished: list[JobRun] = field(default_factory=list)
     size: int = 0
 
 
+class Found:
+    """What the record tells of each task's places: the newest start, and the machines of older ones."""
+
+    def __init__(self) -> None:
+        self.newest: dict[tuple[str, int], tuple[tuple[int, int], Machine, Note | None]] = {}
+        self.stale: set[str] = set()
+
+    def add(self, job_id: str, attempts: dict[str, list[int]], machine: Machine, note: Note | None) -> None:
+        for key, indices in attempts.items():
+            start = read_start_key(key)
+            for index in indices:
+                known = self.newest.get((job_id, index))
+                if known is None or start > known[0]:
+                    if known is not None:
+                        self.stale.add(known[1].name)
+                    self.newest[job_id, index] = (start, machine, note)
+                elif known[1] is not machine:
+                    self.stale.add(machine.name)
+
+
 class Recorder:
     def __init__(self, state: StateClient, board: Board, leader_version: int, recorded: Bell) -> None:
         self.state = state
         self.board = board
         self.leader_version = leader_version
-        self.pages = Pages(int(board.settings.params.state.value_kb * 1024))
+        value_bytes = int(board.settings.params.state.value_kb * 1024)
+        self.pages = Pages(value_bytes)
+        self.note_room = self.pages.room
+        # An earlier leader may have had more.
+        self.notes = [Note() for _ in range(NOTES)]
         self.work = asyncio.Event()
         self._failing = False
+        self._tidied = NEVER
         self.recorded = recorded  # rung after each commit: held reports look again
 
     async def rebuild(self) -> int:
@@ -74,16 +111,15 @@
         known = {entry.key.removeprefix(LIVE) for entry in live}
         over: dict[str, Ended] = {}
         for entry in places:
-            for detail in entry.value["machines"].values():
-                if detail["type"] not in self.board.catalog:
-                    # Its tasks could not be counted, so this node must not lead yet.
-                    raise Trouble(f"a recorded machine has the unknown type {detail['type']}")
-                for job_id in detail["tasks"]:
-                    if job_id not in known and job_id not in over:
-                        found = await self.state.get(OVER + job_id)
-                        if found is None:
-                            raise Trouble(f"job {job_id} is known from the record of places only")
-                        over[job_id] = read_ended(found.value)
+            types, jobs = mentioned(entry.value)
+            if not types <= self.board.catalog.keys():
+                # Its tasks could not be counted, so this node must not lead yet.
+                raise Trouble(f"a recorded machine has an unknown type: {types - self.board.catalog.keys()}")
+            for job_id in sorted(jobs - known - over.keys()):
+                found = await self.state.get(OVER + job_id)
+                if found is None:
+                    raise Trouble(f"job {job_id} is known from the record of places only")
+                over[job_id] = read_ended(found.value)
         self._use(live, done, places, over)
         return revision
 
@@ -99,143 +135,266 @@
             if run is None:
                 continue
             run.chunk_versions[int(number)] = entry.version
+            run.chunks_tried.add(int(number))
             for index in decode_bits(entry.value, int(number) * CHUNK_TASKS):
                 if index < run.spec.tasks:
                     run.mark_done(index)
         for entry in places:
-            self.pages.load(int(entry.key.removeprefix(PLACES)), entry.value, entry.version)
+            name = entry.key.removeprefix(PLACES)
+            if not name.startswith(NOTE):
+                self.pages.load(int(name), entry.value, entry.version)
+        found = Found()
         for page in self.pages.pages.values():
             for name, detail in page.items():
-                self._restore(name, detail)
+                machine = self._restore(name, detail["type"], detail["zone"], detail["spot"])
+                machine.rented = bool(detail.get("rented"))
+                if machine.rented:
+                    board.obtained.add((machine.type.name, machine.zone, machine.spot))
+                for image, size in detail.get("images", {}).items():
+                    machine.keep_image(image, size)
+                for job_id, attempts in detail["tasks"].items():
+                    found.add(job_id, attempts, machine, None)
+        for entry in places:
+            name = entry.key.removeprefix(PLACES)
+            if name.startswith(NOTE):
+                self._use_note(int(name.removeprefix(NOTE)), entry, found)
+        self._restore_tasks(found)
 
-    def _restore(self, name: str, detail: dict[str, Any]) -> None:
+    def _use_note(self, number: int, entry: Entry, found: "Found") -> None:
+        while number >= len(self.notes):
+            self.notes.append(Note())
+        note, value = self.notes[number], entry.value
+        note.version = entry.version
+        machines: dict[str, Machine] = {}
+        for name, kind in value["machines"].items():
+            machines[name] = self._restore(name, *value["kinds"][kind])
+        for job_id, attempts in value["starts"].items():
+            for key, places in attempts.items():
+                for name, indices in places.items():
+                    found.add(job_id, {key: indices}, machines[name], note)
+        for job_id, indices in value["done"].items():
+            run = self.board.jobs.get(job_id)
+            if run is None or run.over:
+                continue
+            for index in indices:
+                if run.mark_done(index):
+                    run.noted.add(index)
+                    note.completion(run, index)
+
+    def _restore(self, name: str, type_name: str, zone: str, spot: bool) -> Machine:
+        return self.board.restore_machine(name, self.board.catalog[type_name], zone, spot, steady())
+
+    def _restore_tasks(self, found: "Found") -> None:
+        """Where a task is recorded in several places, only the newest start counts.
+
+        It was planned once the earlier ones were proven gone; their records are taken away later.
+        Taking an earlier one for the task's place let it run twice: that machine's report freed it,
+        while the later one had not been heard yet (d7edf7f1, rough).
+        """
         board, now = self.board, steady()
-        machine = board.restore_machine(name, board.catalog[detail["type"]], detail["zone"], detail["spot"], now)
-        if detail.get("rented"):
-            machine.rented = True
-            board.obtained.add((detail["type"], detail["zone"], detail["spot"]))
-        for image, size in detail.get("images", {}).items():
-            machine.keep_image(image, size)
-        for job_id, attempts in detail["tasks"].items():
-            run = board.jobs[job_id]
-            for attempt, indices in attempts.items():
-                for index in indices:
-                    if index not in run.placed:
-                        board.restore(run, index, machine, int(attempt), now)
+        for (job_id, index), (start, machine, note) in found.newest.items():
+            attempt, serial = start
+            placement = board.restore(board.jobs[job_id], index, machine, attempt, now, serial)
+            placement.paged = note is None
+            if note is not None:
+                note.start(placement)
+                board.dirty_machines.add(machine.name)
+        # What only pages tell of older starts is rewritten when there is time.
+        board.dirty_machines |= found.stale
 
     async def run(self) -> None:
+        """Notes at once, as often as the state service's limits allow; pages and chunks with what is left."""
+        board = self.board
+        gap = seconds(BATCH_CHANGES / self.state.write_rate)
         while True:
-            await self.work.wait()
+            try:
+                async with asyncio.timeout(TIDY.total_seconds()):
+                    await self.work.wait()
+            except TimeoutError:
+                pass
             self.work.clear()
-            await self.state.writes_turn()
-            batch = self._batch()
+            spare = await self.state.writes_turn(KEPT)
+            batch = self._batch(spare)
             if not batch.ops:
-                # Only what can wait is left.
-                if self.pages.dirty:
-                    try:
-                        async with asyncio.timeout(TIDY.total_seconds()):
-                            await self.work.wait()
-                        continue
-                    except TimeoutError:
-                        batch = self._batch(tidy=True)
-                if not batch.ops:
-                    continue
+                continue
             await self._commit(batch)
-            if self.board.dirty_jobs or self.board.dirty_machines or self.pages.dirty:
+            await pause(gap)
+            if board.dirty_jobs or board.planned:
                 self.work.set()
 
-    def _batch(self, tidy: bool = False) -> Batch:
+    def _batch(self, spare: float) -> Batch:
         board = self.board
         most = board.settings.params.state.txn_ops
         batch = Batch(guards={LEADER: self.leader_version})
-        for name in board.dirty_machines:
-            self.pages.update(board, name)
-        board.dirty_machines.clear()
-        urgent: dict[int, list[Placement]] = {}
-        for name, number in self.pages.of.items():
-            machine = board.machines.get(name)
-            if machine is not None and number in self.pages.dirty:
-                planned = [p for p in machine.placements.values() if p.phase == Phase.PLANNED]
-                if planned:
-                    urgent.setdefault(number, []).extend(planned)
+        planned = [p for p in board.planned if p.phase == Phase.PLANNED and p.run.placed.get(p.index) is p]
+        completions: list[tuple[JobRun, int]] = []
         for job_id in list(board.dirty_jobs):
             run = board.jobs.get(job_id)
             if run is None or run.over or not run.unsaved:
                 board.dirty_jobs.discard(job_id)
-                continue
-            if not self._add_job(batch, run, most):
-                break
-        for number in sorted(self.pages.dirty) if tidy else sorted(urgent):
-            group = [n for n in self.pages.with_targets(number) if n not in batch.pages]
-            sizes = sum(sum(self.pages.sizes[n].values()) + 64 for n in group)
-            if len(batch.ops) + len(group) > most or batch.size + sizes > TXN_BYTES:
-                break
-            for page in group:
-                batch.guards[page_key(page)] = self.pages.versions[page]
-                batch.ops.append(put(page_key(page), self.pages.value(page)))
-                batch.pages.append(page)
-                batch.planned += urgent.get(page, [])
-            batch.size += sizes
+            elif not run.complete:
+                completions += [(run, index) for index in run.unsaved]
+            elif batch.size < TXN_BYTES // 4:
+                self._end_job(batch, run, most - len(self.notes))
+        board.planned = self._add_notes(batch, planned, completions, most)
+        self._fold(batch, most, spare)
         return batch
 
-    def _add_job(self, batch: Batch, run: JobRun, most: int) -> bool:
+    def _end_job(self, batch: Batch, run: JobRun, most: int) -> None:
         job_id = run.spec.id
-        if run.complete:
-            ops = [put(OVER + job_id, stored(ended(run.spec, "done"))), delete(LIVE + job_id)]
-            ops += [delete(key) for key in chunk_keys(job_id, run.spec.tasks)]
-            if len(batch.ops) + len(ops) > most:
-                return False
-            batch.finished.append(run)
-            batch.ops += ops
-        else:
-            chunks = sorted({index // CHUNK_TASKS for index in run.unsaved})
-            if len(batch.ops) + len(chunks) > most:
-                return False
-            for number in chunks:
-                value = encode_bits(run.chunk(number))
-                size = len(value) + 64
-                if batch.size + size > TXN_BYTES:
-                    return False
-                batch.size += size
-                batch.guards[chunk_key(job_id, number)] = run.chunk_versions.get(number, 0)
-                batch.ops.append(put(chunk_key(job_id, number), value))
-                batch.chunks.append((run, number))
-            batch.saved.append((run, set(run.unsaved)))
+        ops = [put(OVER + job_id, stored(ended(run.spec, "done"))), delete(LIVE + job_id)]
+        ops += [delete(chunk_key(job_id, number)) for number in sorted(run.chunks_tried)]
+        if batch.ops and len(batch.ops) + len(ops) > most:
+            return
+        batch.finished.append(run)
+        batch.ops += ops
+        batch.size += 512 + 64 * len(ops)
         batch.guards[LIVE + job_id] = run.version
-        return True
+
+    def _add_notes(
+        self, batch: Batch, planned: list[Placement], completions: list[tuple[JobRun, int]], most: int
+    ) -> list[Placement]:
+        """Put what is new where there is room, the emptiest note first; what is left over waits."""
+        if not planned and not completions:
+            return []
+        for note in self.notes:
+            note.prune()
+        for note in sorted(self.notes, key=lambda note: note.size):
+            if not (planned or completions) or len(batch.ops) >= most or batch.size + self.note_room > TXN_BYTES:
+                break
+            # Writing a nearly full note buys little; the change is better spent on emptying it.
+            if note.size > self.note_room * (WORTH_MORE if batch.notes else WORTH):
+                break
+            done: list[tuple[JobRun, int]] = []
+            starts: list[Placement] = []
+            while completions and note.size < self.note_room:
+                done.append(completions.pop())
+                note.completion(*done[-1])
+            while planned and note.size < self.note_room:
+                starts.append(planned.pop(0))
+                note.start(starts[-1])
+            if not starts and not done:
+                break
+            key = note_key(self.notes.index(note))
+            batch.guards[key] = note.version
+            batch.ops.append(put(key, note.value()))
+            batch.size += note.size
+            batch.notes.append((note, starts, done))
+        return planned
+
+    def _fold(self, batch: Batch, most: int, spare: float) -> None:
+        """Pages and chunks that take the most out of the notes, then pages that only lose entries."""
+        board, now = self.board, steady()
+        tidy = now - self._tidied >= TIDY
+        fullness = sum(note.size for note in self.notes) / (self.note_room * len(self.notes))
+        kept = 0.0 if fullness > 2 * PRESSING else FOLD_ABOVE * self.state.write_rate
+        most = min(most, int(spare - kept))
+        if len(batch.ops) >= most or not (tidy or fullness > PRESSING):
+            return
+        for name in board.dirty_machines:
+            self.pages.update(board, name)
+        board.dirty_machines.clear()
+        pages: dict[int, int] = dict.fromkeys(self.pages.dirty, 0) if tidy else {}
+        chunks: dict[JobRun, int] = {}
+        for note in self.notes:
+            for p in note.starts:
+                number = self.pages.of.get(p.machine.name)
+                if number in self.pages.dirty and not p.paged:
+                    pages[number] = pages.get(number, 0) + START_BYTES
+            for run, index in note.done:
+                if index in run.noted and not run.over and not run.complete:
+                    chunks[run] = chunks.get(run, 0) + DONE_BYTES
+        if tidy:
+            self._tidied = now
+        gains: list[tuple[int, JobRun | int]] = [(gain, run) for run, gain in chunks.items()]
+        gains += [(gain, number) for number, gain in pages.items()]
+        for _, target in sorted(gains, key=lambda pair: -pair[0]):
+            if len(batch.ops) >= most:
+                break
+            if isinstance(target, int):
+                self._add_page(batch, target, most)
+            else:
+                self._add_chunks(batch, target, most)
+
+    def _add_page(self, batch: Batch, number: int, most: int) -> None:
+        group = [n for n in self.pages.with_targets(number) if n not in batch.pages]
+        size = sum(self.pages.totals[n] + 64 for n in group)
+        if len(batch.ops) + len(group) > most or batch.size + size > TXN_BYTES:
+            return
+        for page in group:
+            batch.guards[page_key(page)] = self.pages.versions[page]
+            batch.ops.append(put(page_key(page), self.pages.value(page)))
+            batch.pages.append(page)
+            for name in self.pages.pages[page]:
+                machine = self.board.machines.get(name)
+                if machine is not None:
+                    batch.paged += machine.placements.values()
+        batch.size += size
+
+    def _add_chunks(self, batch: Batch, run: JobRun, most: int) -> None:
+        for number in sorted({index // CHUNK_TASKS for index in run.noted}):
+            value = encode_bits(run.chunk(number))
+            if len(batch.ops) >= most or batch.size + len(value) > TXN_BYTES:
+                return
+            key = chunk_key(run.spec.id, number)
+            run.chunks_tried.add(number)
+            batch.guards[key] = run.chunk_versions.get(number, 0)
+            batch.guards[LIVE + run.spec.id] = run.version
+            batch.ops.append(put(key, value))
+            batch.size += len(value) + 64
+            first = number * CHUNK_TASKS
+            batch.chunks.append((run, number, {i for i in run.noted if first <= i < first + CHUNK_TASKS}))
 
     async def _commit(self, batch: Batch) -> None:
+        board = self.board
         try:
             revision = await self.state.txn(list(batch.guards.items()), batch.ops)
         except Conflict as e:
+            self._take_back(batch)
             if LEADER in e.failed:
                 raise Deposed("the leader's key has changed") from e
             log.info("record out of date: %s", ", ".join(e.failed))
             await self._refresh(e.failed)
-            self.work.set()
             return
         except (Trouble, Unreachable) as e:
             # It may have run or may run yet. All guards stay, so at most one of the tries counts.
+            self._take_back(batch)
             log.log(logging.DEBUG if self._failing else logging.INFO, "recording failed: %s", e)
             self._failing = True
             await pause(RETRY)
-            self.work.set()
             return
         now = steady()
         self._failing = False
         for number in batch.pages:
             self.pages.written(number, revision)
-        for run, number in batch.chunks:
+        for placement in batch.paged:
+            placement.paged = True
+            self._recorded(placement)
+        for run, number, saved in batch.chunks:
             run.chunk_versions[number] = revision
-        for placement in batch.planned:
-            if placement.phase == Phase.PLANNED and placement.run.placed.get(placement.index) is placement:
-                placement.phase = Phase.READY
-        for run, saved in batch.saved:
-            run.unsaved -= saved
+            run.noted -= saved
+        for note, starts, done in batch.notes:
+            note.version = revision
+            for placement in starts:
+                self._recorded(placement)
+            for run, index in done:
+                run.unsaved.discard(index)
+                run.noted.add(index)
         for run in batch.finished:
-            self.board.end_job(run.spec.id, ended(run.spec, "done"), now)
+            board.end_job(run.spec.id, ended(run.spec, "done"), now)
         self.recorded.ring()
 
+    def _recorded(self, placement: Placement) -> None:
+        if placement.phase == Phase.PLANNED and placement.run.placed.get(placement.index) is placement:
+            placement.phase = Phase.READY
+
+    def _take_back(self, batch: Batch) -> None:
+        """What a note could not be written with is planned still."""
+        for note, starts, done in batch.notes:
+            note.starts = [p for p in note.starts if p not in starts]
+            note.done = [d for d in note.done if d not in done]
+            self.board.planned += starts
+
     async def _refresh(self, keys: list[str]) -> None:
         """Learn the versions that an earlier, unanswered try or a user's cancel has left behind."""
         for key in keys:
@@ -248,7 +407,9 @@
                 await pause(RETRY)
                 continue
             version = 0 if entry is None else entry.version
-            if key.startswith(PLACES):
+            if key.startswith(PLACES + NOTE):
+                self.notes[int(key.removeprefix(PLACES + NOTE))].version = version
+            elif key.startswith(PLACES):
                 number = int(key.removeprefix(PLACES))
                 self.pages.versions[number] = version
                 self.pages.dirty.add(number)
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -25,7 +25,7 @@
 PLAN_GAP = timedelta(milliseconds=60)
 # Without news the board is still looked at this often: leases run out, limits refill.
 PLAN_IDLE = timedelta(milliseconds=500)
-REPORT = timedelta(seconds=30)
+REPORT = timedelta(seconds=15)
 NEWS = timedelta(seconds=1)
 RETRY = timedelta(milliseconds=250)
 
@@ -154,5 +154,6 @@
             renew_class_limits(board.limits, board.tuning, now)
             if now - reported >= REPORT:
                 board.limits.report(now)
+                board.report()
                 reported = now
             await pause(seconds(1))
--- a/roseweir/state/client.py
+++ b/roseweir/state/client.py
@@ -74,11 +74,13 @@
         self.tokens -= cost
         return True
 
-    async def turn(self) -> None:
-        """Wait until the next cost could be taken at once, so that a batch can still grow meanwhile."""
-        self._refill()
-        if self.tokens < 0:
-            await pause(seconds(-self.tokens / self.rate))
+    async def reach(self, level: float) -> float:
+        """Wait until so much has been saved up, so that a batch can still grow; what there is then."""
+        while True:
+            self._refill()
+            if self.tokens >= min(level, self.most) - 1e-6:
+                return self.tokens
+            await pause(seconds((min(level, self.most) - self.tokens) / self.rate + 0.001))
 
 
 class StateClient:
@@ -138,8 +140,14 @@
             raise Expired(reply.body.decode(errors="replace"))
         raise Trouble(f"state service answered {reply.status}: {reply.body[:200]!r}")
 
-    async def writes_turn(self) -> None:
-        await self._writes.turn()
+    async def writes_turn(self, share: float = 0.0) -> float:
+        """Wait until this share of a second's changes has been saved up; how many there are above it."""
+        kept = self._writes.most * share
+        return await self._writes.reach(kept) - kept
+
+    @property
+    def write_rate(self) -> float:
+        return self._writes.rate
 
     async def hold(self, ttl: timedelta) -> int:
         await self._requests.take()
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -36,9 +36,9 @@
 def no_records_read(patch: pytest.MonkeyPatch) -> None:
     """A new leader ignores what earlier ones recorded."""
 
-    def forget(self: Recorder, name: str, detail: object) -> None: ...
+    def forget(self: Recorder, found: object) -> None: ...
 
-    patch.setattr(Recorder, "_restore", forget)
+    patch.setattr(Recorder, "_restore_tasks", forget)
 
 
 def keep_silent_machines(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,6 +3,7 @@
 from datetime import datetime, timedelta
 from typing import Any
 
+import orjson
 import pytest
 
 from roseweir.clock import ZERO, seconds
@@ -11,7 +12,8 @@
 from roseweir.placement.board import Board
 from roseweir.placement.model import JobRun, Machine, Phase
 from roseweir.placement.plan import Pass, plan
-from roseweir.placement.record import Pages
+from roseweir.placement.record import Note, Pages
+from roseweir.placement.recorder import Found
 from roseweir.settings import Tuning
 from roseweir.submissions.jobs import GANG, MachineType
 from roseweir.workers.messages import Report, TaskReport
@@ -323,6 +325,41 @@
     reader.load(0, {"machines": {"i-1": {"tasks": {"j-1": {"5": [1]}}}}}, 1)
     reader.load(1, {"machines": {"i-1": {"tasks": {"j-1": {"5": [1, 2]}, "j-2": {"6": [0]}}}}}, 1)
     assert reader.pages[0]["i-1"]["tasks"] == {"j-1": {"5": [1, 2]}, "j-2": {"6": [0]}}
+    # And writes the page that loses it no earlier than the one that keeps it.
+    assert reader.with_targets(1) == [0, 1]
+
+
+def test_of_two_records_of_a_task_only_the_newer_start_counts() -> None:
+    """A page told of a task's earlier place, which was proven gone; the later one had not been heard yet."""
+    machines = {n: Machine(f"i-{n}", CPU, "a", False) for n in (1, 2, 3)}
+    for order in ((1, 2, 3), (3, 2, 1), (2, 3, 1)):
+        found = Found()
+        for n in order:
+            found.add("j-1", {{1: "5", 2: "5.1", 3: "4.7"}[n]: [0]}, machines[n], None)
+        assert found.newest["j-1", 0] == ((5, 1), machines[2], None)
+        assert found.stale == {"i-1", "i-3"}
+
+
+def test_note_holds_hundreds_of_starts_and_lets_go_of_what_pages_hold() -> None:
+    board = new_board()
+    run = board.add_job(job(1, tasks=3000, cpus=0.1, memory_gb=0.1), 1)
+    note = Note()
+    for n in range(40):
+        machine = board.restore_machine(f"i-{n:06d}", CPU, "a", False, NOW)
+        for index in range(n * 20, n * 20 + 20):
+            note.start(board.place(run, index, machine, 7, NOW))
+    for index in range(2000, 2200):
+        run.noted.add(index)
+        note.completion(run, index)
+    assert note.size * 0.5 < len(orjson.dumps(note.value())) <= note.size < 8192
+    for index in range(0, 700):
+        run.placed[index].paged = True
+    run.noted.clear()
+    note.prune()
+    assert note.value()["starts"]["j-000001"]["7"] == {
+        f"i-{n:06d}": list(range(n * 20, n * 20 + 20)) for n in range(35, 40)
+    }
+    assert note.value()["done"] == {}
 
 
 @pytest.mark.parametrize("grace", [0.0, 5.0])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -31,6 +31,14 @@
     check(World(seed, troubles=["deaf", "cut", "recall"]).play())
 
 
+@pytest.mark.parametrize("seed", range(3000, 3010))
+def test_records_lag_behind_when_the_state_service_takes_few_changes(seed: int) -> None:
+    """On the grown deployments pages lagged by a minute, and a stale one made a task run twice."""
+    world = World(seed, write_rps=8.0).play()
+    check(world)
+    assert world.starts > 10
+
+
 def test_quiet_day_ends_all_jobs() -> None:
     world = World(1000, calm=True).play(length=150, jobs=20)
     check(world)
--- a/tests/world.py
+++ b/tests/world.py
@@ -40,7 +40,7 @@
     return asyncio.get_running_loop().time()
 
 
-def settings(index: int) -> Settings:
+def settings(index: int, write_rps: float = 100.0) -> Settings:
     import msgspec
 
     nodes = [{"node_name": f"n{i}", "site": ZONES[i % 2], "peer_addr": f"10.0.0.{i + 1}:8081"} for i in range(3)]
@@ -66,7 +66,7 @@
                     "gang_peer_s": 3.0,
                     "cancel_s": CANCEL_S,
                 },
-                "state": {"rps": 200.0, "write_rps": 100.0, "value_kb": 8.0, "txn_ops": 24},
+                "state": {"rps": 200.0, "write_rps": write_rps, "value_kb": 8.0, "txn_ops": 24},
                 "cloud": {"rps": 10.0, "list_lag_s": 2.0},
                 "limits": {"cpu": 1.0, "ram_mb": 256.0, "sockets": 256},
             },
@@ -521,7 +521,7 @@
         self.slow = 0.0
 
     def start(self) -> None:
-        self.service = Service(settings(self.index), self.world.tuning, self.connect)
+        self.service = Service(settings(self.index, self.world.write_rps), self.world.tuning, self.connect)
         self.task = asyncio.get_running_loop().create_task(self.service.duties())
         self.task.add_done_callback(self.ended)
 
@@ -547,8 +547,14 @@
 
 class World:
     def __init__(
-        self, seed: int, tuning: Tuning | None = None, calm: bool = False, troubles: list[str] | None = None
+        self,
+        seed: int,
+        tuning: Tuning | None = None,
+        calm: bool = False,
+        troubles: list[str] | None = None,
+        write_rps: float = 100.0,
     ) -> None:
+        self.write_rps = write_rps
         self.seed = seed
         self.draw = random.Random(seed)
         self.tuning = tuning or Tuning()
