Room for gangs and arrays is made and kept together; gangs claim their part of a limit

CPU-only work on idle GPUs' CPUs left 39 spot GPUs unusable, so that arrays took the other machines from gangs, which may not use spot. A gang within its guarantee waited 180 s since later arrays of its team used up the team's limit. Now a gang's machines are chosen, kept and made free together, in the zone where that is soonest; arrays keep as many places as they wait for; work that ends before the place is wanted may use it; a waiting gang's part of the limit is left alone; spilled work keeps clear two starts of the largest gang.

--- a/roseweir/clock.py
+++ b/roseweir/clock.py
@@ -6,6 +6,7 @@
 START = datetime(2000, 1, 1)
 ZERO = timedelta(0)
 NEVER = datetime(1970, 1, 1)
+FOREVER = datetime(9000, 1, 1)
 
 
 def steady() -> datetime:
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -64,6 +64,7 @@
         self.limits = Limits(tuning.ban_window, tuning.lookahead)
         self.ratios: dict[str, float] = {}
         self.gpu_most = 0.0  # GPUs of the largest task seen
+        self.gang_most = 1  # tasks of the largest GPU gang seen
         self.gpu_cpus = 0.0  # CPUs that GPU jobs bring along for each GPU, the most seen
         # While no more machines can be had for CPU-only work, it may spill onto the CPUs of idle GPUs.
         self.spill_until = NEVER
@@ -90,6 +91,8 @@
             if spec.gpus > 0:
                 self.gpu_cpus = max(self.gpu_cpus, spec.cpus / spec.gpus)
                 self.gpu_most = max(self.gpu_most, spec.gpus)
+                if spec.kind == GANG:
+                    self.gang_most = max(self.gang_most, spec.tasks)
             if spec.job_class in self._prompt_classes and spec.image:
                 self.prompt_images.add(spec.image)
             self.changed = True
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -7,11 +7,11 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
-from roseweir.clock import NEVER
+from roseweir.clock import FOREVER, NEVER
 from roseweir.limits import Limit, Start
 from roseweir.placement.board import Board, Usage
 from roseweir.placement.model import JobRun, Machine, Phase, Placement
-from roseweir.submissions.jobs import GANG, JobSpec
+from roseweir.submissions.jobs import ARRAY, GANG, JobSpec
 
 log = logging.getLogger(__name__)
 
@@ -19,7 +19,7 @@
 PREEMPT_AFTER = timedelta(seconds=1)
 # How long a machine is kept for the job that others were stopped for on it.
 PROMISE = timedelta(seconds=15)
-# Spilled work keeps whole machines clear, for this many starts of the largest GPU task.
+# Spilled work keeps whole machines clear, for this many starts of the largest GPU task or gang.
 CLEAR_STARTS = 2
 
 
@@ -99,14 +99,21 @@
     mark_covered(board)
     open_machines = [m for m in board.machines.values() if usable(m, board, now)]
     reserves = _reserves(board, open_machines, now)
-    reserved: set[str] = set()
+    reserved: dict[str, datetime] = {}
+    claimed: dict[str, Usage] = {}
     full: set[tuple[object, ...]] = set()
     for run in queue(board):
         spec = run.spec
         wanted = run.pending
         if run.first_wait == NEVER:
             run.first_wait = now
-        allowed = min(wanted, _quota(board, spec))
+        claim = claimed.setdefault(spec.team, Usage())
+        allowed = min(wanted, _quota(board, spec, claim))
+        if spec.kind == GANG and not run.placed:
+            # A gang takes its part of the team's limit whole. Later jobs of the team leave it that part:
+            # arrays took what came free one task at a time, and a gang within the guarantee never began.
+            claim.cpus += spec.cpus * wanted
+            claim.gpus += spec.gpus * wanted
         if spec.kind == GANG and allowed < wanted:
             continue
         count, unwanted = board.limits.adjust(spec, source_of(spec), allowed, now)
@@ -124,12 +131,15 @@
         result.placed += placed
         if placed:
             run.first_wait = NEVER
+            if spec.kind == GANG:
+                claim.cpus -= spec.cpus * placed
+                claim.gpus -= spec.gpus * placed
         if placed < allowed:
             result.left.append((run, allowed - placed))
             if not candidates and not unwanted:
                 full.add(shape)
             if placed < count:
-                _make_room(board, run, open_machines, reserved, now)
+                _make_room(board, run, count - placed, open_machines, reserved, now)
     return result
 
 
@@ -143,7 +153,7 @@
     if now >= board.spill_until:
         return {m.name: board.gpu_cpus for m in gpu_machines}
     reserves: dict[str, float] = {}
-    clear = CLEAR_STARTS
+    clear = CLEAR_STARTS * board.gang_most
     gpu_machines.sort(key=lambda m: (m.spot, m.cpu_only, -m.free_gpus))
     for machine in gpu_machines:
         starts = int((machine.free_gpus + 1e-6) / board.gpu_most) if board.gpu_most > 0 else 0
@@ -153,16 +163,19 @@
     return reserves
 
 
-def _quota(board: Board, spec: JobSpec) -> int:
-    """How many more tasks the team's limit allows; whatever may still be somewhere counts."""
+def _quota(board: Board, spec: JobSpec, claim: Usage) -> int:
+    """How many more tasks the team's limit allows; whatever may still be somewhere counts.
+
+    `claim` is what earlier gangs of the team wait for.
+    """
     team = board.teams.get(spec.team)
     if team is None:
         return 0
     usage = board.usage.get(spec.team) or Usage()
     most = 1 << 30
     for limit, used, need in (
-        (team.cpus_max, usage.cpus, spec.cpus),
-        (team.gpus_max, usage.gpus, spec.gpus),
+        (team.cpus_max, usage.cpus + claim.cpus, spec.cpus),
+        (team.gpus_max, usage.gpus + claim.gpus, spec.gpus),
     ):
         if limit > 0 and need > 0:
             most = min(most, max(0, int((limit - used + 1e-6) / need)))
@@ -182,17 +195,23 @@
     board: Board,
     run: JobRun,
     machines: list[Machine],
-    reserved: set[str],
+    reserved: dict[str, datetime],
     unwanted: list[Limit],
     reserves: dict[str, float],
     now: datetime,
 ) -> list[Machine]:
     spec = run.spec
     found: list[tuple[tuple[float, ...], Machine]] = []
+    # Work that should be over by the time that a machine is wanted for an earlier job may use it.
+    ends = now + board.estimate(spec) if spec.kind == ARRAY and spec.estimate_s > 0 else FOREVER
     for machine in machines:
         if machine.free_cpus < spec.cpus - 1e-6 or machine.free_gpus < spec.gpus - 1e-6:
             continue
-        if machine.name in reserved or not suits(spec, machine) or _promised_away(board, machine, spec, now):
+        if (
+            ends > reserved.get(machine.name, FOREVER)
+            or not suits(spec, machine)
+            or _promised_away(board, machine, spec, now)
+        ):
             continue
         if machine.name in run.error_machines or machine.room(spec, reserves.get(machine.name, 0.0)) <= 0:
             continue
@@ -341,40 +360,94 @@
     return None
 
 
-def _make_room(board: Board, run: JobRun, machines: list[Machine], reserved: set[str], now: datetime) -> None:
-    """Keep later jobs off the machine that will soonest have room, and stop others' work if allowed."""
+def _make_room(
+    board: Board, run: JobRun, missing: int, machines: list[Machine], reserved: dict[str, datetime], now: datetime
+) -> None:
+    """Keep later jobs off the machines that will soonest have room, and stop others' work if allowed.
+
+    A gang needs room for all its tasks at once, in one zone if it says so: made one machine at a time,
+    the first was lost again before the last was there.
+    """
     spec = run.spec
     if spec.gpus <= 0:
         return
-    best: tuple[datetime, Machine] | None = None
-    for machine in machines:
-        if machine.name in reserved or not suits(spec, machine) or not spec.fits(machine.type):
-            continue
-        when = _room_at(board, machine, spec, now)
-        if when is not None and (best is None or when < best[0]):
-            best = (when, machine)
+    fitting = [m for m in machines if m.type.gpus > 0 and suits(spec, m) and spec.fits(m.type)]
+    wanted = run.pending if spec.kind == GANG else 1
+    groups = _groups(run, fitting)
+    best: tuple[datetime, list[tuple[datetime, Machine]]] | None = None
+    for group in groups:
+        free = [m for m in group if m.name not in reserved]
+        soonest = _soonest(board, run, free, missing, now)
+        if soonest and (best is None or soonest[-1][0] < best[0]):
+            best = (soonest[-1][0], soonest)
     if best is not None:
-        reserved.add(best[1].name)
+        for when, machine in best[1]:
+            reserved[machine.name] = best[0] if spec.kind == GANG else max(when, reserved.get(machine.name, when))
     if now - run.first_wait >= PREEMPT_AFTER or now < board.spill_until:
-        _preempt(board, run, machines, now)
+        _preempt(board, run, groups, wanted, now)
 
 
-def _room_at(board: Board, machine: Machine, spec: JobSpec, now: datetime) -> datetime | None:
-    cpus, gpus, memory = machine.free_cpus, machine.free_gpus, machine.free_memory
-    ends = sorted(
-        ((p.expected_end(now, board.estimate(p.run.spec)), p) for p in machine.placements.values()),
-        key=lambda pair: pair[0],
-    )
-    when = now
-    for end, placement in [(now, None), *ends]:
-        if placement is not None:
-            when = end
-            cpus += placement.run.spec.cpus
-            gpus += placement.run.spec.gpus
-            memory += placement.run.spec.memory_gb
-        if cpus + 1e-6 >= spec.cpus and gpus + 1e-6 >= spec.gpus and memory + 1e-6 >= spec.memory_gb:
-            return when
-    return None
+def _groups(run: JobRun, machines: list[Machine]) -> list[list[Machine]]:
+    """Machines that may take the job's tasks together."""
+    if not run.spec.one_zone:
+        return [machines]
+    held = {p.machine.zone for p in run.placed.values()}
+    zones: dict[str, list[Machine]] = {}
+    for machine in machines:
+        if not held or machine.zone in held:
+            zones.setdefault(machine.zone, []).append(machine)
+    return list(zones.values())
+
+
+def _soonest(
+    board: Board, run: JobRun, machines: list[Machine], wanted: int, now: datetime
+) -> list[tuple[datetime, Machine]]:
+    """The machines that have room for so many tasks the soonest, in order; none for a gang that never fits."""
+    times: list[tuple[datetime, str, Machine]] = []
+    for machine in machines:
+        if not _promised_away(board, machine, run.spec, now):
+            times += [(when, machine.name, machine) for when in _room_at(board, machine, run.spec, wanted, now)]
+    if len(times) < wanted and run.spec.kind == GANG:
+        return []
+    return [(when, machine) for when, _, machine in sorted(times, key=lambda t: t[:2])[:wanted]]
+
+
+def _room_at(board: Board, machine: Machine, spec: JobSpec, wanted: int, now: datetime) -> list[datetime]:
+    """When there will be room for the first, the second and further tasks."""
+    room = Room(machine)
+    times = [now] * min(wanted, room.tasks(spec))
+    if len(times) >= wanted:
+        return times
+    ends = [(p.expected_end(now, board.estimate(p.run.spec)), p) for p in machine.placements.values()]
+    ends.sort(key=lambda pair: pair[0])
+    for end, placement in ends:
+        room.add(placement)
+        times += [end] * (min(wanted, room.tasks(spec)) - len(times))
+        if len(times) >= wanted:
+            break
+    return times
+
+
+class Room:
+    """What is free on a machine, and what would be if more tasks left it."""
+
+    __slots__ = ("cpus", "gpus", "memory")
+
+    def __init__(self, machine: Machine) -> None:
+        self.cpus, self.gpus, self.memory = machine.free_cpus, machine.free_gpus, machine.free_memory
+
+    def add(self, placement: Placement) -> None:
+        spec = placement.run.spec
+        self.cpus += spec.cpus
+        self.gpus += spec.gpus
+        self.memory += spec.memory_gb
+
+    def tasks(self, spec: JobSpec) -> int:
+        most = 1 << 30
+        for free, need in ((self.cpus, spec.cpus), (self.gpus, spec.gpus), (self.memory, spec.memory_gb)):
+            if need > 0:
+                most = min(most, int((free + 1e-6) / need) if free > 0 else 0)
+        return most
 
 
 def may_preempt(board: Board, run: JobRun, victim: JobRun) -> bool:
@@ -395,65 +468,69 @@
     return over_gpus or over_cpus
 
 
-def _preempt(board: Board, run: JobRun, machines: list[Machine], now: datetime) -> None:
-    """Make room for one task at a time, where the least work is lost."""
-    spec = run.spec
-    best: tuple[float, list[Placement]] | None = None
-    for machine in machines:
-        if not suits(spec, machine) or not spec.fits(machine.type) or machine.name in run.error_machines:
-            continue
-        if machine.promised == spec.id and now < machine.promised_until:
-            return  # room is already being made
-        if _promised_away(board, machine, spec, now):
-            continue
-        if any(p.halt_at is not None for p in machine.placements.values()):
-            if _room_at(board, machine, spec, now) is not None and _freed_by_halts(machine, spec):
+def _preempt(board: Board, run: JobRun, groups: list[list[Machine]], wanted: int, now: datetime) -> None:
+    """Make room for one task at a time, for a gang's together, where the least work is lost."""
+    best: tuple[float, list[Machine], list[Placement]] | None = None
+    for group in groups:
+        slots: list[tuple[float, str, Machine, list[Placement]]] = []
+        for machine in group:
+            if machine.name in run.error_machines or _promised_away(board, machine, run.spec, now):
+                continue
+            if machine.promised == run.spec.id and run.spec.kind != GANG:
                 return  # room is already being made
+            slots += _slots(board, run, machine, wanted, now)
+        if len(slots) < wanted:
             continue
-        victims = [
-            p
-            for p in machine.placements.values()
-            if may_preempt(board, run, p.run) and p.phase in (Phase.SEEN, Phase.SENT) and p.run.spec.kind != GANG
-        ]
-        victims += [
-            p
-            for p in machine.placements.values()
-            if p.run.spec.kind == GANG and p.phase == Phase.SEEN and may_preempt(board, run, p.run)
-        ]
-        victims.sort(key=lambda p: (p.run.covered, -p.run.spec.priority, _lost(p, now)))
-        chosen: list[Placement] = []
-        cpus, gpus, memory = machine.free_cpus, machine.free_gpus, machine.free_memory
-        for victim in victims:
-            if cpus + 1e-6 >= spec.cpus and gpus + 1e-6 >= spec.gpus and memory + 1e-6 >= spec.memory_gb:
-                break
-            chosen.append(victim)
-            cpus += victim.run.spec.cpus
-            gpus += victim.run.spec.gpus
-            memory += victim.run.spec.memory_gb
-        if cpus + 1e-6 < spec.cpus or gpus + 1e-6 < spec.gpus or memory + 1e-6 < spec.memory_gb:
-            continue
-        if not chosen:
-            continue
-        lost = sum(_lost(p, now) for p in chosen)
+        slots.sort(key=lambda slot: slot[:2])
+        if run.spec.kind != GANG and not slots[0][3]:
+            return  # there is room, or it is already being made
+        slots = slots[:wanted]
+        lost = sum(slot[0] for slot in slots)
         if best is None or lost < best[0]:
-            best = (lost, chosen)
-    if best is not None:
-        machine = best[1][0].machine
-        machine.promised, machine.promised_until = spec.id, now + PROMISE
-        for victim in best[1]:
-            log.info("preempting %s on %s for %s", victim.name, victim.machine.name, spec.id)
-            board.stop_gently(victim, now, urgent=True)
+            best = (lost, [slot[2] for slot in slots], [victim for slot in slots for victim in slot[3]])
+    if best is None:
+        return
+    for machine in best[1]:
+        machine.promised, machine.promised_until = run.spec.id, now + PROMISE
+    for victim in best[2]:
+        log.info("preempting %s on %s for %s", victim.name, victim.machine.name, run.spec.id)
+        board.stop_gently(victim, now, urgent=True)
+    if best[2]:
         board.changed = True
 
 
-def _freed_by_halts(machine: Machine, spec: JobSpec) -> bool:
-    cpus, gpus, memory = machine.free_cpus, machine.free_gpus, machine.free_memory
+def _slots(
+    board: Board, run: JobRun, machine: Machine, wanted: int, now: datetime
+) -> list[tuple[float, str, Machine, list[Placement]]]:
+    """Places for the job's tasks that are or can be made free here: work lost, machine, whom to stop."""
+    spec = run.spec
+    room = Room(machine)
     for p in machine.placements.values():
         if p.halt_at is not None:
-            cpus += p.run.spec.cpus
-            gpus += p.run.spec.gpus
-            memory += p.run.spec.memory_gb
-    return cpus + 1e-6 >= spec.cpus and gpus + 1e-6 >= spec.gpus and memory + 1e-6 >= spec.memory_gb
+            room.add(p)
+    count = min(wanted, room.tasks(spec))
+    found: list[tuple[float, str, Machine, list[Placement]]] = [(0.0, machine.name, machine, []) for _ in range(count)]
+    if len(found) >= wanted:
+        return found
+    victims = [
+        p
+        for p in machine.placements.values()
+        if p.halt_at is None
+        and (p.phase == Phase.SEEN or (p.phase == Phase.SENT and p.run.spec.kind != GANG))
+        and may_preempt(board, run, p.run)
+    ]
+    victims.sort(key=lambda p: (p.run.spec.kind == GANG, p.run.covered, -p.run.spec.priority, _lost(p, now)))
+    chosen: list[Placement] = []
+    for victim in victims:
+        chosen.append(victim)
+        room.add(victim)
+        if room.tasks(spec) > len(found):
+            # Only as many slots as tasks that fit: each names those that must go for it.
+            found.append((sum(_lost(p, now) for p in chosen), machine.name, machine, chosen))
+            chosen = []
+            if len(found) >= wanted:
+                break
+    return found
 
 
 def _lost(placement: Placement, now: datetime) -> float:
