Pages are written each by itself; machines with the image at hand are cleared first

A page that a machine had left was written together with the page that it moved to; after a rebuild such groups had grown into chains that fitted no transaction, nothing left the notes, and new starts found no room in them. Ruled out: the state service's limits, conflicts (none logged). Now an older entry stays on its page until the newer one is written, so each page can be written alone. Test: an older entry stays until the newer one is written, also for a reader that finds both.

--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -519,6 +519,8 @@
         and (p.phase == Phase.SEEN or (p.phase == Phase.SENT and p.run.spec.kind != GANG))
         and may_preempt(board, run, p.run)
     ]
+    # Where the image is at hand the job starts sooner by the time of a fetch, which is often the longest wait.
+    fetch = 0.0 if machine.has_image(spec.image) else spec.image_gb / max(machine.type.fetch_gb_per_s, 0.01)
     victims.sort(key=lambda p: (p.run.spec.kind == GANG, p.run.covered, -p.run.spec.priority, _lost(p, now)))
     chosen: list[Placement] = []
     for victim in victims:
@@ -526,7 +528,7 @@
         room.add(victim)
         if room.tasks(spec) > len(found):
             # Only as many slots as tasks that fit: each names those that must go for it.
-            found.append((sum(_lost(p, now) for p in chosen), machine.name, machine, chosen))
+            found.append((fetch + sum(_lost(p, now) for p in chosen), machine.name, machine, chosen))
             chosen = []
             if len(found) >= wanted:
                 break
--- a/roseweir/placement/record.py
+++ b/roseweir/placement/record.py
@@ -130,25 +130,23 @@
         self.versions: dict[int, int] = {}
         self.dirty: set[int] = set()
         self.of: dict[str, int] = {}
-        # A page that a machine moved out of is written no earlier than the page that it moved to.
-        self.after: dict[int, set[int]] = {}
+        # Pages that still hold an older entry of a machine that has moved. It stays until the newer page
+        # is written: so each page can be written by itself. Pages that had to be written together grew
+        # into chains that fitted no transaction, and after a take-over nothing was recorded any more.
+        self.older: dict[str, set[int]] = {}
 
     def load(self, number: int, value: dict[str, Any], version: int) -> None:
-        machines: dict[str, dict[str, Any]] = value.get("machines", {})
         self.versions[number] = version
         self.pages[number] = {}
         self.sizes[number] = {}
         self.totals[number] = 0
-        for name, detail in machines.items():
-            if name in self.of:
-                # Caught between two pages: it counts with the tasks of both. The page that loses it
-                # must not be written before the one that keeps it.
-                kept = self.of[name]
-                _merge(self.pages[kept][name]["tasks"], detail["tasks"])
-                self.dirty |= {number, kept}
-                self.after.setdefault(number, set()).add(kept)
-                continue
+        for name, detail in value.get("machines", {}).items():
+            kept = self.of.get(name)
             self._set(number, name, detail)
+            if kept is not None:
+                # Caught between two pages: it counts with the tasks of both.
+                self.of[name] = kept
+                self.older.setdefault(name, set()).add(number)
 
     def _set(self, number: int, name: str, detail: dict[str, Any]) -> None:
         self.pages.setdefault(number, {})[name] = detail
@@ -159,13 +157,18 @@
         self.versions.setdefault(number, 0)
         self.of[name] = number
 
-    def _drop(self, name: str) -> None:
-        number = self.of.pop(name, None)
-        if number is not None:
+    def _take_out(self, number: int, name: str) -> None:
+        if name in self.pages[number]:
             del self.pages[number][name]
             self.totals[number] -= self.sizes[number].pop(name)
             self.dirty.add(number)
 
+    def _drop(self, name: str) -> None:
+        number = self.of.pop(name, None)
+        if number is not None:
+            for page in (number, *self.older.pop(name, ())):
+                self._take_out(page, name)
+
     def update(self, board: Board, name: str) -> None:
         """Bring a machine's entry up to date; it moves when its page gets too full."""
         machine = board.machines.get(name)
@@ -182,7 +185,6 @@
             "images": {image: round(size, 2) for image, size in machine.images.items()},
             "rented": machine.rented,
         }
-        old: int | None = None
         number = self.of.get(name)
         if number is not None and self.pages[number][name] == detail:
             return
@@ -190,12 +192,11 @@
         if number is not None:
             others = self.totals[number] - self.sizes[number][name]
             if others + size > self.room and others > 0:
-                self._drop(name)
-                old, number = number, None
+                self.older.setdefault(name, set()).add(number)
+                number = None
         if number is None:
             number = self._place_for(size)
-            if old is not None:
-                self.after.setdefault(old, set()).add(number)
+            self.older.get(name, set()).discard(number)
         self._set(number, name, detail)
         self.dirty.add(number)
 
@@ -206,28 +207,16 @@
                 return number
         return max(self.pages, default=-1) + 1
 
-    def with_targets(self, number: int) -> list[int]:
-        """The page, after the pages that must be written before it or with it."""
-        found: list[int] = []
-        todo = [number]
-        while todo:
-            page = todo.pop()
-            if page not in found:
-                found.insert(0, page)
-                todo += [p for p in self.after.get(page, ()) if p in self.dirty]
-        return found
+    def held(self, number: int) -> list[str]:
+        """The machines whose newest entry is on this page."""
+        return [name for name in self.pages[number] if self.of[name] == number]
 
     def written(self, number: int, version: int) -> None:
         self.versions[number] = version
         self.dirty.discard(number)
-        self.after.pop(number, None)
+        for name in self.held(number):
+            for old in self.older.pop(name, set()):
+                self._take_out(old, name)
 
     def value(self, number: int) -> dict[str, Any]:
         return {"machines": dict(self.pages[number])}
-
-
-def _merge(into: dict[str, dict[str, list[int]]], tasks: dict[str, dict[str, list[int]]]) -> None:
-    for job, attempts in tasks.items():
-        for attempt, indices in attempts.items():
-            known = into.setdefault(job, {}).setdefault(attempt, [])
-            known += [i for i in indices if i not in known]
--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -199,8 +199,8 @@
             if note is not None:
                 note.start(placement)
                 board.dirty_machines.add(machine.name)
-        # What only pages tell of older starts is rewritten when there is time.
-        board.dirty_machines |= found.stale
+        # Older starts, and entries of machines on two pages, are taken away when there is time.
+        board.dirty_machines |= found.stale | self.pages.older.keys()
 
     async def run(self) -> None:
         """Notes at once, as often as the state service's limits allow; pages and chunks with what is left."""
@@ -317,18 +317,16 @@
                 self._add_chunks(batch, target, most)
 
     def _add_page(self, batch: Batch, number: int, most: int) -> None:
-        group = [n for n in self.pages.with_targets(number) if n not in batch.pages]
-        size = sum(self.pages.totals[n] + 64 for n in group)
-        if len(batch.ops) + len(group) > most or batch.size + size > TXN_BYTES:
+        size = self.pages.totals[number] + 64
+        if len(batch.ops) >= most or batch.size + size > TXN_BYTES:
             return
-        for page in group:
-            batch.guards[page_key(page)] = self.pages.versions[page]
-            batch.ops.append(put(page_key(page), self.pages.value(page)))
-            batch.pages.append(page)
-            for name in self.pages.pages[page]:
-                machine = self.board.machines.get(name)
-                if machine is not None:
-                    batch.paged += machine.placements.values()
+        batch.guards[page_key(number)] = self.pages.versions[number]
+        batch.ops.append(put(page_key(number), self.pages.value(number)))
+        batch.pages.append(number)
+        for name in self.pages.held(number):
+            machine = self.board.machines.get(name)
+            if machine is not None:
+                batch.paged += machine.placements.values()
         batch.size += size
 
     def _add_chunks(self, batch: Batch, run: JobRun, most: int) -> None:
