A node that alone lacks the state service leaves its users to its peers

Now such a node asks its peers whether they reach the service, and only then says that it is not healthy: in an outage of all it stays, since returning costs seconds and nobody else could serve. Test: one node refused alone turns unhealthy, in an outage all stay healthy.

--- a/roseweir/placement/record.py
+++ b/roseweir/placement/record.py
@@ -56,7 +56,7 @@
     return f"{PLACES}{NOTE}{number}"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Note:
     """Starts and completions that are nowhere else yet, with an estimate of their encoded size."""
 
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -11,6 +11,7 @@
 from roseweir.cloud.client import CloudClient, NoCapacity
 from roseweir.http import Connect, Request, Response, Transport, Unreachable, connect, json_response, serve
 from roseweir.leadership.leadership import Leadership, Term
+from roseweir.leadership.messages import TERM
 from roseweir.reign import Reign
 from roseweir.settings import Settings, Tuning
 from roseweir.state import Conflict, StateClient, Trouble
@@ -25,6 +26,8 @@
 RETRY = seconds(0.5)
 PEER_PATIENCE = seconds(0.3)
 BACK_CONNECTIONS = 32
+CHECK = seconds(0.5)
+PROBE_PATIENCE = seconds(0.4)
 
 
 class Service:
@@ -38,6 +41,8 @@
         self.leadership = Leadership(settings, self.state, self._lead, self._ask_peers)
         self.reign: Reign | None = None
         self.catalog: list[MachineType] = []
+        # The state service refuses this node, but not a peer: users are better served there.
+        self.alone = False
         self._peers = {peer.name: connect(peer.address, 2) for peer in settings.peers}
 
     async def run(self) -> None:
@@ -56,6 +61,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.desk.commits.run())
             group.create_task(self._learn_catalog())
+            group.create_task(self._watch_state())
             group.create_task(self.leadership.run())
 
     # -- catalog ------------------------------------------------------------------------------
@@ -84,6 +90,37 @@
         self.catalog = kinds
         self.desk.catalog = kinds
 
+    # -- the state service --------------------------------------------------------------------
+
+    async def _watch_state(self) -> None:
+        """A node that alone cannot reach the state service leaves its users to its peers.
+
+        In an outage of all, it stays in the load balancer's choice: leaving it would cost seconds after
+        the outage, and nobody else could serve the users either.
+        """
+        while True:
+            await pause(CHECK)
+            alone = self.state.failing and not await self._reaches_state() and await self._a_peer_reaches_state()
+            if alone != self.alone:
+                log.info("the state service is %s", "refused to this node alone" if alone else "reached or out for all")
+                self.alone = alone
+
+    async def _reaches_state(self) -> bool:
+        try:
+            await self.state.get(TERM, patience=PROBE_PATIENCE)
+        except (Trouble, Unreachable):
+            return False
+        return True
+
+    async def _a_peer_reaches_state(self) -> bool:
+        async def ask(peer: Transport) -> bool:
+            try:
+                return (await peer("GET", "/reach", patience=PROBE_PATIENCE * 2)).status == 200
+            except Unreachable:
+                return False
+
+        return any(await asyncio.gather(*(ask(peer) for peer in self._peers.values())))
+
     # -- leading ------------------------------------------------------------------------------
 
     async def _lead(self, term: Term) -> None:
@@ -122,6 +159,8 @@
         return json_response(404, {"error": "no such path"})
 
     def _healthz(self) -> Response:
+        if self.alone:
+            return json_response(503, {"status": "no state service here"})
         if self.catalog:
             return json_response(200, {"status": "ok"})
         return json_response(503, {"status": "starting"})
@@ -141,6 +180,8 @@
         path = request.path
         if path == "/limits":
             return json_response(200, self.limits())
+        if path == "/reach":
+            return json_response(200 if await self._reaches_state() else 503, {})
         if path == "/status":
             return json_response(200, self.status())
         if path.startswith("/progress/"):
--- a/roseweir/state/client.py
+++ b/roseweir/state/client.py
@@ -6,7 +6,7 @@
 from urllib.parse import quote
 
 from roseweir.clock import pause, seconds, steady
-from roseweir.http import Connect, Reply, connect
+from roseweir.http import Connect, Reply, Unreachable, connect
 from roseweir.settings import StateSettings
 
 PATIENCE = timedelta(seconds=2)
@@ -87,19 +87,25 @@
     def __init__(self, address: str, settings: StateSettings, connect: Connect = connect) -> None:
         self.settings = settings
         self._send = connect(address, 8)
+        self.failing = False  # the last request got no answer, or 503
         # All controllers share the service's limits, so one of them never plans to use them whole.
         self._requests = Pace(settings.rps * 0.6)
         self._writes = Pace(settings.write_rps * 0.7)
 
     async def _call(self, method: str, path: str, body: object = None, patience: timedelta = PATIENCE) -> Reply:
-        reply = await self._send(method, path, body, patience=patience)
+        try:
+            reply = await self._send(method, path, body, patience=patience)
+        except Unreachable:
+            self.failing = True
+            raise
+        self.failing = reply.status == 503
         if reply.status in (429, 503):
             raise Trouble(f"state service answered {reply.status}")
         return reply
 
-    async def get(self, key: str) -> Entry | None:
+    async def get(self, key: str, patience: timedelta = PATIENCE) -> Entry | None:
         await self._requests.take()
-        reply = await self._call("GET", f"/store/{quote(key, safe='/')}")
+        reply = await self._call("GET", f"/store/{quote(key, safe='/')}", patience=patience)
         if reply.status == 404:
             return None
         if reply.status != 200:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from roseweir.http import Request
 from tests.world import World, now
 
 
@@ -56,6 +57,32 @@
     assert len(gaps) == 1 and gaps[0] < 4.5
 
 
+def test_only_a_node_that_alone_lacks_the_state_service_leaves_its_users_to_peers() -> None:
+    world = World(7001, calm=True)
+    seen: list[list[int]] = []
+
+    async def health(world: World) -> list[int]:
+        services = [node.service for node in world.nodes if node.service is not None]
+        return [(await service.public(Request("GET", "/healthz", b""))).status for service in services]
+
+    async def lose(world: World) -> None:
+        await asyncio.sleep(20)
+        world.state.refuses.add("n1")
+        await asyncio.sleep(8)
+        seen.append(await health(world))
+        world.state.refuses.clear()
+        await asyncio.sleep(4)
+        seen.append(await health(world))
+        world.state.out = True
+        await asyncio.sleep(8)
+        seen.append(await health(world))
+        world.state.outage_ends()
+
+    world.spawn_later(lose)
+    check(world.play(length=60, jobs=10))
+    assert seen == [[200, 503, 200], [200, 200, 200], [200, 200, 200]]
+
+
 @pytest.mark.parametrize("seed", range(3000, 3010))
 def test_records_lag_behind_when_the_state_service_takes_few_changes(seed: int) -> None:
     """On the grown deployments pages lagged by a minute, and a stale one made a task run twice."""
