--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -83,6 +83,41 @@
     assert seen == [[200, 503, 200], [200, 200, 200], [200, 200, 200]]
 
 
+def test_floods_of_bad_requests_are_answered_at_once_and_delay_neither_reports_nor_the_lease() -> None:
+    world = World(7002, calm=True)
+    statuses: dict[str, set[int]] = {}
+    slowest: list[float] = []
+
+    async def ask(world: World, what: str, request: Request) -> None:
+        service = world.leader().service
+        assert service is not None
+        sent = now()
+        response = await service.public(request)
+        slowest.append(now() - sent)
+        statuses.setdefault(what, set()).add(response.status)
+        if response.status in (429, 503):
+            assert any(name == "retry-after" for name, _ in response.headers)
+
+    async def flood(world: World) -> None:
+        await asyncio.sleep(20)
+        for n in range(400):
+            for m in range(5):
+                world.spawn(ask(world, "unknown job", Request("GET", f"/submissions/j-8{n:04d}{m}", b"")))
+            world.spawn(ask(world, "malformed", Request("POST", "/submissions", b'{"name_id": 3')))
+            world.spawn(ask(world, "oversized", Request("POST", "/submissions", b"", too_large=True)))
+            world.spawn(ask(world, "strange report", Request("POST", "/hello", b'{"host": []}')))
+            await asyncio.sleep(0.05)
+
+    world.spawn_later(flood)
+    check(world.play(length=60, jobs=10))
+    assert statuses["malformed"] == statuses["oversized"] == statuses["strange report"] == {400}
+    # 100 polls a second are more than the state service would bear: the rest is told when to come back.
+    assert statuses["unknown job"] == {404, 429}
+    assert max(slowest) < 0.5
+    assert world.state.keys["lead/term"][0] == 1, "the lease was lost"
+    assert all(worker.session == 1 for worker in world.workers.values()), "a worker's lease ran out"
+
+
 @pytest.mark.parametrize("seed", range(3000, 3010))
 def test_records_lag_behind_when_the_state_service_takes_few_changes(seed: int) -> None:
     """On the grown deployments pages lagged by a minute, and a stale one made a task run twice."""
@@ -91,6 +126,14 @@
     assert world.starts > 10
 
 
+@pytest.mark.parametrize("seed", range(8000, 8002))
+def test_rough_days_of_a_large_fleet(seed: int) -> None:
+    """Arrays of hundreds on hundreds of machines, with few changes a second for the record."""
+    world = World(seed, scale=100, write_rps=20.0).play()
+    check(world)
+    assert world.starts > 1000 and len(world.cloud.hosts) >= 200
+
+
 def test_quiet_day_ends_all_jobs() -> None:
     world = World(1000, calm=True).play(length=150, jobs=20)
     check(world)
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,118 @@
+"""What a large fleet costs, counted in changes of the state service, never by the clock."""
+
+import asyncio
+from typing import Any, cast
+
+import orjson
+
+from roseweir.bell import Bell
+from roseweir.placement.board import Board
+from roseweir.placement.model import Phase
+from roseweir.placement.plan import plan
+from roseweir.placement.record import NOTES
+from roseweir.placement.recorder import Recorder
+from roseweir.state import StateClient
+from roseweir.submissions.jobs import GANG
+from tests import virtual
+from tests.samples import spec as job
+from tests.test_placement import NOW, Hand, new_board
+
+
+class Counting:
+    """A state service that takes everything within its limits, and counts."""
+
+    write_rate = 20.0
+
+    def __init__(self) -> None:
+        self.changes = 0
+        self.keys: dict[str, Any] = {}
+
+    async def writes_turn(self, share: float = 0.0) -> float:
+        return self.write_rate
+
+    async def txn(self, guards: list[tuple[str, int]], ops: list[dict[str, Any]]) -> int:
+        assert len(ops) <= 24 and len(guards) <= 96 and len(orjson.dumps([guards, ops])) <= 65536
+        assert all(len(orjson.dumps(op.get("v"))) <= 8192 for op in ops)
+        self.changes += len(ops)
+        self.keys |= {op["put"]: op["v"] for op in ops if "put" in op}
+        return self.changes
+
+
+def fleet(machines: int) -> tuple[Board, list[Hand]]:
+    board = new_board()
+    hands = [Hand(board, f"i-{n:06d}", "gpu" if n % 8 == 0 else "cpu", "ab"[n % 2]) for n in range(machines)]
+    for hand in hands:
+        hand.report(NOW)
+    return board, hands
+
+
+async def record(board: Board, state: Counting, until: int) -> None:
+    """Let the recorder work until no more than so many starts and ends wait for it."""
+    recorder = Recorder(cast(StateClient, state), board, 1, Bell())
+    recorder.work.set()
+    task = asyncio.create_task(recorder.run())
+    waiting = until + 1
+    for _ in range(400):
+        await asyncio.sleep(0.05)
+        placed = [p for run in board.jobs.values() for p in run.placed.values()]
+        waiting = sum(p.phase == Phase.PLANNED for p in placed) + sum(len(run.unsaved) for run in board.jobs.values())
+        if waiting <= until:
+            break
+        recorder.work.set()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert waiting <= until, f"{waiting} starts and ends still wait for the record"
+
+
+def test_changes_for_a_start_do_not_grow_with_the_fleet() -> None:
+    """600 machines, an array of 3,000: thousands of starts cost notes, not a page for each few machines."""
+    board, hands = fleet(600)
+    run = board.add_job(job(1, tasks=3000), 1)
+    plan(board, NOW)
+    assert len(run.placed) == 3000
+    state = Counting()
+    virtual.run(record(board, state, 0))
+    assert state.changes <= 60
+    # Then a few starts and ends anywhere in the fleet cost a change or two.
+    for hand in hands:
+        hand.report(NOW)
+        hand.report(NOW)
+    ended = 0
+    for hand in hands[1:40]:
+        for key in list(hand.tasks)[:1]:
+            hand.ends(key[0], "done")
+            hand.report(NOW)
+            ended += 1
+    assert ended > 20
+    before = state.changes
+    virtual.run(record(board, state, 0))
+    few = state.changes - before
+    assert 0 < few <= NOTES + 24
+
+
+def test_gang_starts_whole_in_one_zone_with_one_attempt() -> None:
+    board = new_board()
+    hands = [Hand(board, f"i-{n:03d}", "gpu", "ab"[n % 2]) for n in range(16)]
+    for hand in hands:
+        hand.report(NOW)
+    gang = board.add_job(job(2, team="t1", kind=GANG, tasks=3, gpus=2.0, cpus=6.0, one_zone=True, spot=False), 2)
+    plan(board, NOW)
+    assert len(gang.placed) == 3 and len({p.attempt for p in gang.placed.values()}) == 1
+    assert len({p.machine.zone for p in gang.placed.values()}) == 1
+
+
+def test_waiting_gang_keeps_its_part_of_the_teams_limit() -> None:
+    """Arrays took what came free one task at a time, and the gang before them never began."""
+    board = new_board()
+    hands = [Hand(board, f"i-{n}", "gpu") for n in range(2)]
+    for hand in hands:
+        hand.report(NOW)
+    # The limit is 6 GPUs: the gang wants all of them, and there are 4 in sight.
+    gang = board.add_job(job(1, kind=GANG, tasks=3, gpus=2.0), 1)
+    array = board.add_job(job(2, tasks=6, gpus=1.0), 2)
+    plan(board, NOW)
+    assert len(gang.placed) == 0 and len(array.placed) == 0
+    third = Hand(board, "i-9", "gpu")
+    third.report(NOW)
+    plan(board, NOW)
+    assert len(gang.placed) == 3 and len(array.placed) == 0
--- a/tests/world.py
+++ b/tests/world.py
@@ -217,7 +217,9 @@
         self.world = world
         self.hosts: dict[str, Host] = {}
         self.answers: dict[str, list[str]] = {}
-        self.capacity = {(b, z, s): (3 if b == "cpu" else 1) for b in KINDS for z in ZONES for s in (True, False)}
+        self.capacity = {
+            (b, z, s): (3 if b == "cpu" else 1) * world.scale for b in KINDS for z in ZONES for s in (True, False)
+        }
         self.listings: list[tuple[float, list[dict[str, Any]]]] = []
 
     def add(self, build: str, yard: str, spot: bool) -> Host:
@@ -553,7 +555,9 @@
         calm: bool = False,
         troubles: list[str] | None = None,
         write_rps: float = 100.0,
+        scale: int = 1,
     ) -> None:
+        self.scale = scale  # times as many machines, and tasks in arrays
         self.write_rps = write_rps
         self.acts: list[Callable[[World], Coroutine[Any, Any, None]]] = []
         self.seed = seed
@@ -749,7 +753,7 @@
         draw = self.draw
         shape = draw.choice(["sweep", "sweep", "sweep", "gang", "daemon"])
         gpu = draw.random() < 0.5
-        parcels = draw.randint(1, 12) if shape == "sweep" else draw.randint(1, 3)
+        parcels = draw.randint(1, 12) * self.scale if shape == "sweep" else draw.randint(1, 3)
         save = draw.random() < 0.5
         job_id = f"j-{draw.randrange(10**6):06d}"
         return {
@@ -904,7 +908,7 @@
         with wall_time():
             for node in self.nodes:
                 node.start()
-            for zone in ZONES:
+            for zone in ZONES * self.scale:
                 self.cloud.add("cpu", zone, False)
             self.spawn(self.check_always())
             self.spawn(self.strangers())
