Read once more: one way to count what fits, a page's entry is encoded once, a kept place's time is plain

Room.tasks repeated the loop of Machine.room, an update of the record encoded each entry twice, and the time that a machine is kept for was guarded against an order that sorting rules out. Reading a machine on two pages no longer lets the older entry unsay that it was rented.

--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -201,8 +201,13 @@
         free_cpus = self.free_cpus
         if spec.gpus <= 0 and self.type.gpus > 0 and reserve > 0:
             free_cpus = min(free_cpus, self.type.cpus - self.type.gpus * reserve - self.cpu_only)
-        most = 1 << 30
-        for free, need in ((free_cpus, spec.cpus), (self.free_gpus, spec.gpus), (self.free_memory, spec.memory_gb)):
-            if need > 0:
-                most = min(most, int((free + 1e-6) / need) if free > 0 else 0)
-        return most
+        return how_many(spec, free_cpus, self.free_gpus, self.free_memory)
+
+
+def how_many(spec: JobSpec, cpus: float, gpus: float, memory: float) -> int:
+    """How many tasks of the job fit into so much."""
+    most = 1 << 30
+    for free, need in ((cpus, spec.cpus), (gpus, spec.gpus), (memory, spec.memory_gb)):
+        if need > 0:
+            most = min(most, int((free + 1e-6) / need) if free > 0 else 0)
+    return most
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -10,7 +10,7 @@
 from roseweir.clock import FOREVER, NEVER
 from roseweir.limits import Limit, Start
 from roseweir.placement.board import Board, Usage
-from roseweir.placement.model import JobRun, Machine, Phase, Placement
+from roseweir.placement.model import JobRun, Machine, Phase, Placement, how_many
 from roseweir.submissions.jobs import ARRAY, GANG, JobSpec
 
 log = logging.getLogger(__name__)
@@ -382,7 +382,8 @@
             best = (soonest[-1][0], soonest)
     if best is not None:
         for when, machine in best[1]:
-            reserved[machine.name] = best[0] if spec.kind == GANG else max(when, reserved.get(machine.name, when))
+            # In order of time: of several places on a machine, the last one decides.
+            reserved[machine.name] = best[0] if spec.kind == GANG else when
     if now - run.first_wait >= PREEMPT_AFTER or now < board.spill_until:
         _preempt(board, run, groups, wanted, now)
 
@@ -443,11 +444,7 @@
         self.memory += spec.memory_gb
 
     def tasks(self, spec: JobSpec) -> int:
-        most = 1 << 30
-        for free, need in ((self.cpus, spec.cpus), (self.gpus, spec.gpus), (self.memory, spec.memory_gb)):
-            if need > 0:
-                most = min(most, int((free + 1e-6) / need) if free > 0 else 0)
-        return most
+        return how_many(spec, self.cpus, self.gpus, self.memory)
 
 
 def may_preempt(board: Board, run: JobRun, victim: JobRun) -> bool:
--- a/roseweir/placement/record.py
+++ b/roseweir/placement/record.py
@@ -48,6 +48,11 @@
     return entry
 
 
+def size_of(name: str, detail: dict[str, Any]) -> int:
+    """Bytes that a machine's entry takes of its page."""
+    return len(orjson.dumps(detail)) + len(name) + 8
+
+
 def page_key(number: int) -> str:
     return f"{PLACES}{number:04d}"
 
@@ -142,16 +147,15 @@
         self.totals[number] = 0
         for name, detail in value.get("machines", {}).items():
             kept = self.of.get(name)
-            self._set(number, name, detail)
+            self._set(number, name, detail, size_of(name, detail))
             if kept is not None:
                 # Caught between two pages: it counts with the tasks of both.
                 self.of[name] = kept
                 self.older.setdefault(name, set()).add(number)
 
-    def _set(self, number: int, name: str, detail: dict[str, Any]) -> None:
+    def _set(self, number: int, name: str, detail: dict[str, Any], size: int) -> None:
         self.pages.setdefault(number, {})[name] = detail
         sizes = self.sizes.setdefault(number, {})
-        size = len(orjson.dumps(detail)) + len(name) + 8
         self.totals[number] = self.totals.get(number, 0) + size - sizes.get(name, 0)
         sizes[name] = size
         self.versions.setdefault(number, 0)
@@ -188,7 +192,7 @@
         number = self.of.get(name)
         if number is not None and self.pages[number][name] == detail:
             return
-        size = len(orjson.dumps(detail)) + len(name) + 8
+        size = size_of(name, detail)
         if number is not None:
             others = self.totals[number] - self.sizes[number][name]
             if others + size > self.room and others > 0:
@@ -197,7 +201,7 @@
         if number is None:
             number = self._place_for(size)
             self.older.get(name, set()).discard(number)
-        self._set(number, name, detail)
+        self._set(number, name, detail, size)
         self.dirty.add(number)
 
     def _place_for(self, size: int) -> int:
--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -147,8 +147,8 @@
         for page in self.pages.pages.values():
             for name, detail in page.items():
                 machine = self._restore(name, detail["type"], detail["zone"], detail["spot"])
-                machine.rented = bool(detail.get("rented"))
-                if machine.rented:
+                if detail.get("rented"):
+                    machine.rented = True
                     board.obtained.add((machine.type.name, machine.zone, machine.spot))
                 for image, size in detail.get("images", {}).items():
                     machine.keep_image(image, size)
@@ -160,7 +160,7 @@
                 self._use_note(int(name.removeprefix(NOTE)), entry, found)
         self._restore_tasks(found)
 
-    def _use_note(self, number: int, entry: Entry, found: "Found") -> None:
+    def _use_note(self, number: int, entry: Entry, found: Found) -> None:
         while number >= len(self.notes):
             self.notes.append(Note())
         note, value = self.notes[number], entry.value
@@ -184,7 +184,7 @@
     def _restore(self, name: str, type_name: str, zone: str, spot: bool) -> Machine:
         return self.board.restore_machine(name, self.board.catalog[type_name], zone, spot, steady())
 
-    def _restore_tasks(self, found: "Found") -> None:
+    def _restore_tasks(self, found: Found) -> None:
         """Where a task is recorded in several places, only the newest start counts.
 
         It was planned once the earlier ones were proven gone; their records are taken away later.
