A promise that ran out no longer keeps its own job from asking for room again

Found on reading the change once more: when room for gangs came in, the check of the promise's time was lost for the job that it was made to. Such a job asked again only after another job had looked at the machine. Whether a promise still holds is now told in one place, for both. The test fails on the code before.

--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -228,13 +228,15 @@
     It did: a gang's two victims left one after the other, the first one's place was filled again, and
     the new task became the next victim.
     """
-    if machine.promised in ("", spec.id):
-        return False
+    return _promised_to(board, machine, now) not in ("", spec.id)
+
+
+def _promised_to(board: Board, machine: Machine, now: datetime) -> str:
+    """The job that room is being made for on the machine, if it still waits and its time is not over."""
     run = board.jobs.get(machine.promised)
     if run is None or run.pending <= 0 or now >= machine.promised_until:
         machine.promised = ""
-        return False
-    return True
+    return machine.promised
 
 
 def _score(board: Board, spec: JobSpec, machine: Machine) -> tuple[float, ...]:
@@ -473,7 +475,7 @@
         for machine in group:
             if machine.name in run.error_machines or _promised_away(board, machine, run.spec, now):
                 continue
-            if machine.promised == run.spec.id and run.spec.kind != GANG:
+            if _promised_to(board, machine, now) == run.spec.id and run.spec.kind != GANG:
                 return  # room is already being made
             slots += _slots(board, run, machine, wanted, now)
         if len(slots) < wanted:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -174,6 +174,23 @@
     assert len(gang.placed) == 1
 
 
+def test_promise_that_ran_out_does_not_keep_its_own_job_from_asking_again() -> None:
+    board = new_board()
+    hands = [Hand(board, f"i-{n}", "gpu") for n in range(2)]
+    for hand in hands:
+        hand.report(NOW)
+    low = board.add_job(job(1, tasks=2, gpus=2.0, priority=3), 1)
+    start(board, NOW, *hands)
+    board.add_job(job(2, team="t1", gpus=2.0, priority=1), 2)
+    # Room was promised on a machine and never came; no other job waits that would look at the promise.
+    hands[0].machine.promised, hands[0].machine.promised_until = "j-000002", NOW + seconds(15)
+    for later, stopped in ((2, 0), (16, 1)):
+        for hand in hands:
+            hand.report(NOW + seconds(later))
+        plan(board, NOW + seconds(later))
+        assert sum(p.halt_at is not None for p in low.placed.values()) == stopped
+
+
 def fail(hand: Hand, run: JobRun, now: datetime) -> None:
     index = next(i for i, p in run.placed.items() if p.machine is hand.machine)
     hand.ends(f"{run.spec.id}/{index}", "error")
