A leader that workers do not reach makes way; nodes that stood still learn who leads

The leader asks by way of the state service; one that reaches the workers in its place makes it go. The simulated world can now shut a node's routines behind a gate, and lose parts of a node's network.

--- a/roseweir/cloud/desk.py
+++ b/roseweir/cloud/desk.py
@@ -35,6 +35,12 @@
         self._requests = 0
         self._renting: set[Offer] = set()
         self._listed_at: dict[str, datetime] = {}
+        self._hear_until = NEVER
+
+    def hear_first(self) -> None:
+        """This node stood still: whom it has not heard meanwhile need not be silent."""
+        self._hear_until = steady() + self.board.settings.params.workers.report * 2 + seconds(5)
+        self.board.talking_since.clear()
 
     async def run(self) -> None:
         async with asyncio.TaskGroup() as group:
@@ -99,7 +105,7 @@
         await pause(max(seconds(3), self.board.settings.params.workers.report))
         while True:
             now = steady()
-            if not self._may_act():
+            if not self._may_act() or now < self._hear_until:
                 await pause(DECIDE)
                 continue
             wall_ms = round(clock.wall().timestamp() * 1000)
--- a/roseweir/leadership/leadership.py
+++ b/roseweir/leadership/leadership.py
@@ -5,6 +5,12 @@
   is after it was sent. Clocks drift apart by up to 0.05%, so counted from the *sending*, TTL less
   0.1% is safe; MARGIN is for the time between looking at the clock and an answer leaving.
 - The term rises with each election, in the same transaction that takes the leader's key.
+
+Who should lead is one that workers reach. A leader that misses most of its workers asks the others, by way
+of the state service, which it holds its lease from anyway: peers may be out of its reach as well. One
+that reaches these workers and the state service could lead in its place, so the leader gives up its lease.
+Only such an answer makes it go: in a cut zone, or when the workers are gone, nobody can give it. Nodes
+that found the workers out of reach let the others stand first.
 """
 
 import asyncio
@@ -16,7 +22,7 @@
 
 from roseweir.clock import NEVER, pause, steady
 from roseweir.http import Unreachable
-from roseweir.leadership.messages import LEADER, PREFIX, TERM, LeaderRecord
+from roseweir.leadership.messages import ASK, LEADER, PREFIX, REACH, TERM, Ask, LeaderRecord, Reach
 from roseweir.settings import Settings
 from roseweir.state import Conflict, StateClient, Trouble
 from roseweir.state.client import Expired, put
@@ -28,6 +34,16 @@
 RENEW = timedelta(milliseconds=600)
 WATCH = timedelta(seconds=10)
 RETRY = timedelta(milliseconds=300)
+# A node that did not reach the workers stands this much later, until a worker's report shows that it
+# does, or until it has been so long.
+YIELD = timedelta(milliseconds=1500)
+RESERVE = timedelta(seconds=60)
+# The leader asks no more than once in this time, and looks this often for answers.
+ASK_GAP = timedelta(seconds=2)
+ASK_LOOK = timedelta(milliseconds=200)
+ASK_LOOKS = 6
+# One in so many of the workers asked about must be reached by another node.
+ENOUGH = 4
 
 
 class SteppedDown(Exception):
@@ -61,12 +77,19 @@
 Reign = Callable[[Term], Coroutine[None, None, None]]
 # Asks the other controllers which leader they know: its name and term.
 AskPeers = Callable[[], Coroutine[None, None, tuple[str, int] | None]]
+# How many of these workers (names and addresses) answer this node, or came to it of late.
+Probe = Callable[[dict[str, str]], Coroutine[None, None, int]]
 
 
 class Leadership:
-    def __init__(self, settings: Settings, state: StateClient, reign: Reign, ask_peers: AskPeers) -> None:
+    def __init__(self, settings: Settings, state: StateClient, reign: Reign, ask_peers: AskPeers, probe: Probe) -> None:
         self.settings = settings
         self._ask_peers = ask_peers
+        self._probe = probe
+        self._asked: Ask | None = None
+        self._asking = asyncio.Event()
+        self._asks = 0
+        self.reserve_until = NEVER
         self._successor: LeaderRecord | None = None
         self.state = state
         self._reign = reign
@@ -75,9 +98,17 @@
         self.faults = 0
 
     async def run(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._stand_or_follow())
+            group.create_task(self._answer_asks())
+
+    async def _stand_or_follow(self) -> None:
         while True:
             try:
                 revision = await self._look()
+                if self.leader is None and steady() < self.reserve_until:
+                    await pause(YIELD)
+                    revision = await self._look()
                 if self.leader is None:
                     term = await self._campaign()
                     if term is not None:
@@ -108,6 +139,76 @@
             for item in items:
                 if item.key == LEADER:
                     self._learn(item.value)
+                elif item.key == ASK and item.value is not None:
+                    self._asked = msgspec.convert(item.value, Ask)
+                    self._asking.set()
+
+    # -- who reaches the workers --------------------------------------------------------------
+
+    def reached(self) -> None:
+        """A worker's report came in: this node need not stand back."""
+        self.reserve_until = NEVER
+
+    def forget_leader(self) -> None:
+        """A node that slept does not know any more who leads: it looks before it sends anybody there."""
+        if self.term is None:
+            self.leader = None
+
+    async def _answer_asks(self) -> None:
+        while True:
+            await self._asking.wait()
+            self._asking.clear()
+            ask = self._asked
+            if ask is None:
+                continue
+            reached = await self._probe(ask.workers)
+            if not reached:
+                self._stand_back()
+            answer = Reach(ask.term, ask.number, reached)
+            try:
+                await self.state.txn([], [put(REACH + self.settings.name, msgspec.to_builtins(answer))])
+            except (Trouble, Unreachable, Conflict, Expired) as e:
+                log.debug("answer about workers: %s", e)
+
+    def _stand_back(self) -> None:
+        self.reserve_until = steady() + RESERVE
+
+    async def resign_if_unheard(self, workers: dict[str, str]) -> None:
+        """Most workers have not reported in time: make way if another node reaches them."""
+        term = self.term
+        if term is None or not term.may_run():
+            return
+        self._asks += 1
+        ask = Ask(term.number, self._asks, workers)
+        try:
+            await self.state.txn([(LEADER, term.version)], [put(ASK, msgspec.to_builtins(ask))])
+            for _ in range(ASK_LOOKS):
+                await pause(ASK_LOOK)
+                entries, _ = await self.state.scan(REACH)
+                answers = [(e.key.removeprefix(REACH), msgspec.convert(e.value, Reach)) for e in entries]
+                for name, found in answers:
+                    mine = (found.term, found.number) == (ask.term, ask.number) and name != self.settings.name
+                    # Without addresses only those count that came; in search of a leader they
+                    # come to any of the others, every few seconds.
+                    if mine and found.reached * ENOUGH > len(workers):
+                        await self._resign(term, f"{name} reaches workers that this node does not hear")
+                        return
+        except (Trouble, Unreachable, Conflict, Expired, msgspec.ValidationError) as e:
+            log.debug("asking about workers: %s", e)
+        else:
+            log.info("most workers have not reported, and no other controller reaches them")
+        await pause(ASK_GAP)
+
+    async def _resign(self, term: Term, reason: str) -> None:
+        self._stand_back()
+        # Nothing goes out under this term any more before others may take the key.
+        term.end(reason)
+        try:
+            await self.state.release(term.lease)
+        except (Trouble, Unreachable) as e:
+            log.debug("the lease is left to run out: %s", e)
+
+    # -- standing -----------------------------------------------------------------------------
 
     async def _campaign(self) -> Term | None:
         sent = steady()
--- a/roseweir/leadership/messages.py
+++ b/roseweir/leadership/messages.py
@@ -1,10 +1,13 @@
-"""What the leader's key holds."""
+"""What the keys about leading hold."""
 
 import msgspec
 
 PREFIX = "lead/"
 LEADER = "lead/leader"
 TERM = "lead/term"
+# The leader asks whether others reach the workers that it no longer hears; each node answers under its name.
+ASK = "lead/ask"
+REACH = "lead/reach/"
 
 
 class LeaderRecord(msgspec.Struct):
@@ -12,3 +15,19 @@
     back: str
     term: int
     lease: int
+
+
+class Ask(msgspec.Struct):
+    """A question of the leader's: who reaches these workers? Term and number make it unlike any other."""
+
+    term: int
+    number: int
+    workers: dict[str, str]  # their names, and their addresses as far as known
+
+
+class Reach(msgspec.Struct):
+    """How many of those asked about answer this node, or came to it of late."""
+
+    term: int
+    number: int
+    reached: int
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -32,6 +32,8 @@
 # A machine goes back when this many arrays in a row took so much longer there than on average, judged
 # by at least so many tasks and machines. Healthy machines of a type differ by a tenth.
 SLOW_JOBS, SLOW_FACTOR, SLOW_TASKS, SLOW_PEERS = 2, 2.0, 3, 4
+# By how much a worker's report may be later than two of its intervals.
+ON_TIME, FIRST_TIME = timedelta(seconds=0.75), timedelta(seconds=5)
 # An estimate says little about a task that has only just begun.
 RATIO_WEIGHT = 0.2
 
@@ -566,6 +568,17 @@
             sum(m.free_gpus for m in self.machines.values() if m.shown),
         )
 
+    def overdue(self, now: datetime) -> list[Machine]:
+        """Machines whose reports should have come, if these are most of all; else none.
+
+        A worker that does not get through gives up after 4 s and tries the next node a second later, so
+        one that has not reported to this leader yet gets that much longer.
+        """
+        up = [m for m in self.machines.values() if not m.booting and m.recall_at is None]
+        report = self.settings.params.workers.report
+        late = [m for m in up if self.silent(m, now) > report * 2 + (ON_TIME if m.shown else FIRST_TIME)]
+        return late if len(late) * 2 > len(up) else []
+
     def silent(self, machine: Machine, now: datetime) -> timedelta:
         return now - max(machine.heard, self.began)
 
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -3,14 +3,16 @@
 import asyncio
 import gc
 import logging
+from datetime import datetime
+from math import ceil
 from typing import Any
 
 import msgspec
 
-from roseweir.clock import pause, seconds, steady
+from roseweir.clock import NEVER, pause, seconds, steady
 from roseweir.cloud.client import CloudClient, NoCapacity
 from roseweir.http import Connect, Request, Response, Transport, Unreachable, connect, json_response, serve
-from roseweir.leadership.leadership import Leadership, Term
+from roseweir.leadership.leadership import ENOUGH, Leadership, Term
 from roseweir.leadership.messages import TERM
 from roseweir.reign import Reign
 from roseweir.settings import Settings, Tuning
@@ -28,6 +30,13 @@
 BACK_CONNECTIONS = 32
 CHECK = seconds(0.5)
 PROBE_PATIENCE = seconds(0.4)
+# A wait that took so much longer than it should tells that this node stood still meanwhile.
+SLEPT = seconds(1.5)
+# How many workers are asked about, and how many checks in a row must find most of them overdue.
+ASKED, CHECKS = 16, 2
+LOOK = seconds(0.25)
+# For how long a worker that came counts as one that reaches this node, and how many are remembered.
+CAME, CALLERS = seconds(5), 4096
 
 
 class Service:
@@ -38,11 +47,12 @@
         self.state = StateClient(settings.endpoints.state, settings.params.state, connect)
         self.cloud = CloudClient(settings.endpoints.cloud, settings.params.cloud, connect)
         self.desk = Desk(settings, self.state, self._progress)
-        self.leadership = Leadership(settings, self.state, self._lead, self._ask_peers)
+        self.leadership = Leadership(settings, self.state, self._lead, self._ask_peers, self._probe_workers)
         self.reign: Reign | None = None
         self.catalog: list[MachineType] = []
         # The state service refuses this node, but not a peer: users are better served there.
         self.alone = False
+        self._came: dict[str, datetime] = {}
         self._peers = {peer.name: connect(peer.address, 2) for peer in settings.peers}
 
     async def run(self) -> None:
@@ -62,6 +72,7 @@
             group.create_task(self.desk.commits.run())
             group.create_task(self._learn_catalog())
             group.create_task(self._watch_state())
+            group.create_task(self._watch_workers())
             group.create_task(self.leadership.run())
 
     # -- catalog ------------------------------------------------------------------------------
@@ -121,6 +132,58 @@
 
         return any(await asyncio.gather(*(ask(peer) for peer in self._peers.values())))
 
+    # -- the workers --------------------------------------------------------------------------
+
+    async def _watch_workers(self) -> None:
+        """A leader that most workers no longer reach asks whether another node should lead.
+
+        After a node stood still, reports wait in its buffers: it first takes those, and learns who leads
+        before it sends workers anywhere.
+        """
+        overdue = 0
+        while True:
+            before = steady()
+            await pause(LOOK)
+            now = steady()
+            if now - before > LOOK + SLEPT:
+                log.warning("stood still for %.1f s", (now - before - LOOK).total_seconds())
+                self.leadership.forget_leader()
+                if self.reign is not None:
+                    self.reign.cloud.hear_first()
+                overdue = 0
+                continue
+            reign = self.reign
+            missed = [] if reign is None or not reign.open else reign.board.overdue(now)
+            overdue = overdue + 1 if missed and now - before < LOOK * 2 else 0
+            if overdue >= CHECKS:
+                step = ceil(len(missed) / ASKED)
+                await self.leadership.resign_if_unheard({m.name: m.address for m in missed[::step]})
+                overdue = 0
+
+    async def _probe_workers(self, workers: dict[str, str]) -> int:
+        async def ask(address: str) -> bool:
+            try:
+                return (await self._connect(address, 0)("GET", "/status", patience=PROBE_PATIENCE)).status == 200
+            except Unreachable:
+                return False
+
+        since = steady() - CAME
+        came = sum(self._came.get(name, NEVER) >= since for name in workers)
+        if came * ENOUGH > len(workers):
+            return came
+        return sum(await asyncio.gather(*(ask(address) for address in workers.values() if address)))
+
+    def _note_caller(self, request: Request) -> None:
+        """A worker that reports to a node that does not lead is in search of one that does."""
+        try:
+            name = msgspec.json.decode(request.body, type=wire.Caller).machine
+        except msgspec.DecodeError:
+            return
+        self._came.pop(name, None)
+        self._came[name] = steady()
+        if len(self._came) > CALLERS:
+            del self._came[next(iter(self._came))]
+
     # -- leading ------------------------------------------------------------------------------
 
     async def _lead(self, term: Term) -> None:
@@ -168,9 +231,11 @@
     async def _hello(self, request: Request) -> Response:
         if request.method != "POST" or request.too_large:
             return json_response(400, {"error": "a report is a POST of at most 64 KiB"})
+        self.leadership.reached()
         reign = self.reign
         if reign is not None and reign.open:
             return await reign.workers.report(request)
+        self._note_caller(request)
         leader = self.leadership.leader
         if leader is None or leader.name == self.settings.name:
             return json_response(503, {"error": "no leader known"})
--- a/roseweir/state/client.py
+++ b/roseweir/state/client.py
@@ -169,6 +169,13 @@
         if reply.status != 200:
             raise Trouble(f"state service answered {reply.status}")
 
+    async def release(self, lease: int) -> None:
+        """End a lease at once, with the keys attached to it."""
+        await self._requests.take()
+        reply = await self._call("DELETE", f"/holds/{lease}")
+        if reply.status not in (200, 404):
+            raise Trouble(f"state service answered {reply.status}")
+
     async def watch(self, prefix: str, after: int, block: timedelta) -> tuple[list[Item], int] | None:
         """Changes after a revision, and the revision they reach; None when the keys must be read again."""
         block_ms = round(block.total_seconds() * 1000)
--- a/roseweir/workers/messages.py
+++ b/roseweir/workers/messages.py
@@ -43,6 +43,12 @@
     notice_s: float | None = None
 
 
+class Caller(msgspec.Struct, rename={"machine": "host"}):
+    """All that a node which does not lead reads of a report."""
+
+    machine: str
+
+
 FETCHING = "pulling"
 WAITING = "gathering"
 RUNNING = "running"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,7 @@
 import pytest
 
 from roseweir.http import Request
-from tests.world import World, now
+from tests.world import LATER, World, now
 
 
 def check(world: World) -> None:
@@ -29,6 +29,121 @@
     assert world.starts > 20
 
 
+@pytest.mark.parametrize("seed", range(9000, 9016))
+def test_rough_days_as_on_call_met_them_break_no_rule(seed: int) -> None:
+    """Controllers stand still for a while or lose part of the network; machines come up late or never."""
+    world = World(seed, troubles=LATER).play()
+    check(world)
+    assert world.starts > 20
+
+
+@pytest.mark.parametrize("way", ["refused", "silent"])
+@pytest.mark.parametrize("also", [[], ["peers"], ["peers", "cloud"]], ids=str)
+def test_leader_that_workers_do_not_reach_makes_way_before_their_leases_end(way: str, also: list[str]) -> None:
+    """It kept its lease in the state service, and every worker's tasks with it to their end."""
+    world = World(7003, calm=True)
+    sessions: list[dict[str, int]] = []
+    leaders: list[str] = []
+
+    async def lose(world: World) -> None:
+        await asyncio.sleep(30)
+        node = world.leader()
+        leaders.append(node.name)
+        sessions.append({name: worker.session for name, worker in world.workers.items()})
+        for what in ["workers", *also]:
+            node.lost[what] = way
+        await asyncio.sleep(4.2)
+        leaders.append(world.leader().name)
+        await asyncio.sleep(26)
+        leaders.append(world.leader().name)
+        node.lost.clear()
+        await asyncio.sleep(15)
+        leaders.append(world.leader().name)
+        sessions.append({name: worker.session for name, worker in world.workers.items()})
+
+    world.spawn_later(lose)
+    check(world.play(length=90, jobs=20))
+    assert leaders[0] != leaders[1] == leaders[2] == leaders[3]
+    assert world.state.keys["lead/term"][0] == 2, "leadership went to and fro"
+    if way == "refused":
+        # In silence a worker spends 4 s of its lease, which is 6 s here, before it looks elsewhere.
+        lost = [name for name, session in sessions[0].items() if sessions[1].get(name, session) != session]
+        assert lost == [], "leases ran out"
+
+
+@pytest.mark.parametrize("who", ["everybody", "zone", "workers"])
+def test_leader_stays_when_nobody_else_reaches_the_workers(who: str) -> None:
+    world = World(7004, calm=True)
+
+    async def lose(world: World) -> None:
+        await asyncio.sleep(30)
+        if who == "everybody":
+            for node in world.nodes:
+                node.lost["workers"] = "silent"
+        elif who == "zone":
+            world.cuts.add(world.leader().zone)
+        else:
+            for worker in world.workers.values():
+                worker.hung = True
+        await asyncio.sleep(20)
+        world.cuts.clear()
+        for node in world.nodes:
+            node.lost.clear()
+        for worker in world.workers.values():
+            worker.hung = False
+
+    world.spawn_later(lose)
+    check(world.play(length=70, jobs=10))
+    assert world.state.keys["lead/term"][0] == 1
+
+
+def test_a_node_that_workers_do_not_reach_lets_others_stand_first() -> None:
+    world = World(7005, calm=True)
+    leaders: list[str] = []
+
+    async def lose(world: World) -> None:
+        await asyncio.sleep(20)
+        first = world.leader()
+        first.lost["workers"] = "refused"
+        await asyncio.sleep(12)
+        second = world.leader()
+        second.crash()
+        await asyncio.sleep(6)
+        leaders.extend(node.name for node in (first, second, world.leader()))
+        second.start()
+
+    world.spawn_later(lose)
+    check(world.play(length=60, jobs=10))
+    assert len(set(leaders)) == 3
+
+
+@pytest.mark.parametrize("span", [1.2, 8.0, 40.0])
+@pytest.mark.parametrize("leads", [True, False])
+def test_a_node_that_stood_still_goes_on_without_harm(span: float, leads: bool) -> None:
+    """All that waited for it reaches it in one instant; its old term gives it no right."""
+    world = World(7006, calm=True)
+    gaps: list[float] = []
+
+    async def stand_still(world: World) -> None:
+        await asyncio.sleep(30)
+        leader = world.leader()
+        node = leader if leads else next(n for n in world.nodes if n is not leader)
+        node.gate.shut()
+        stopped = now()
+        if leads and span > 5:
+            while not any(n.service and n.service.reign and n.service.reign.open for n in world.nodes if n is not node):
+                await asyncio.sleep(0.05)
+            gaps.append(now() - stopped)
+        await asyncio.sleep(span - (now() - stopped))
+        node.gate.open()
+
+    world.spawn_later(stand_still)
+    check(world.play(length=100, jobs=20))
+    assert all(gap < 4.0 for gap in gaps), "a crash would be noticed sooner"
+    assert world.state.keys["lead/term"][0] == (2 if leads and span > 5 else 1)
+    assert all(worker.session == 1 for worker in world.workers.values()), "a worker's lease ran out"
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_leader_that_loses_the_state_service_alone(seed: int) -> None:
     check(World(seed, troubles=["deaf", "cut", "recall"]).play())
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from contextlib import contextmanager
+from contextvars import Context
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from typing import Any
@@ -30,6 +31,8 @@
 
 
 TROUBLES = ["crash", "crash", "roll", "all", "outage", "alone", "hang", "die", "recall", "cut", "sick", "slow"]
+# What on-call met later.
+LATER = [*TROUBLES, "paused", "paused", "partly", "partly", "partly", "boots", "lag"]
 
 
 class RuleBroken(AssertionError):
@@ -75,6 +78,14 @@
     )
 
 
+def target_of(address: str) -> str:
+    if address == "10.2.0.1:1":
+        return "state"
+    if address == "10.2.0.2:1":
+        return "cloud"
+    return "workers" if address.endswith(":9000") else "peers"
+
+
 def reply(status: int, value: object = None) -> Reply:
     return Reply(status, b"" if value is None else orjson.dumps(value))
 
@@ -137,6 +148,9 @@
             lease = int(path.split("/")[2])
             if lease not in self.leases:
                 return reply(404, {})
+            if method == "DELETE":
+                self.drop(lease)
+                return reply(200, {})
             ttl = self.leases[lease][0]
             # A lease may end up to 100 ms late, never early.
             self.leases[lease] = (ttl, now() + ttl + self.world.draw.uniform(0, 0.1))
@@ -221,10 +235,12 @@
             (b, z, s): (3 if b == "cpu" else 1) * world.scale for b in KINDS for z in ZONES for s in (True, False)
         }
         self.listings: list[tuple[float, list[dict[str, Any]]]] = []
+        self.boot_factor, self.boot_fails = 1.0, 0.05
+        self.lag = 2.0
 
     def add(self, build: str, yard: str, spot: bool) -> Host:
         draw = self.world.draw
-        boot = 4.0 * draw.uniform(0.3, 1.5) if draw.random() > 0.05 else 1e9
+        boot = 4.0 * self.boot_factor * draw.uniform(0.3, 1.5) if draw.random() > self.boot_fails else 1e9
         host = Host(f"i-{len(self.hosts):06d}", build, yard, spot, now(), now() + boot)
         self.hosts[host.name] = host
         self.world.spawn(self.boot(host))
@@ -298,7 +314,7 @@
             if not h.gone
         ]
         self.listings.append((now(), listed))
-        old = [entry for at, entry in self.listings if at <= now() - 2.0]
+        old = [entry for at, entry in self.listings if at <= now() - self.lag]
         return reply(200, {"hosts": old[-1] if old else [], "truncated": False})
 
 
@@ -521,12 +537,33 @@
         self.service: Service | None = None
         self.task: asyncio.Task[None] | None = None
         self.slow = 0.0
+        # What a packet filter keeps from it: "state", "cloud", "peers", "workers", by the way it does so.
+        self.lost: dict[str, str] = {}
+        self.gate = virtual.Gate()
+        self.handlers: set[asyncio.Task[Any]] = set()
 
     def start(self) -> None:
+        self.gate = virtual.Gate()
         self.service = Service(settings(self.index, self.world.write_rps), self.world.tuning, self.connect)
-        self.task = asyncio.get_running_loop().create_task(self.service.duties())
+        self.task = self.spawn(self.service.duties())
         self.task.add_done_callback(self.ended)
 
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
+        """A routine of this node's process: it and all that it starts stand still while the node is paused."""
+        return asyncio.get_running_loop().create_task(work, context=self.gate.context())
+
+    async def serve(self, handler: Callable[[Service], Coroutine[Any, Any, Response]]) -> Response | None:
+        """What a request to this node gets; the handler goes on when the caller has given up."""
+        service = self.service
+        if service is None:
+            return None
+        task = self.spawn(handler(service))
+        self.handlers.add(task)
+        task.add_done_callback(self.handlers.discard)
+        self.world.keep(task)
+        await asyncio.wait({task})
+        return None if task.cancelled() else task.result()
+
     def ended(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
             self.world.errors.append(task.exception())
@@ -536,6 +573,9 @@
             self.world.errors.append(AssertionError("a term ended in a fault of the service, see its log"))
         if self.task is not None:
             self.task.cancel()
+        for handler in self.handlers:
+            handler.cancel()
+        self.gate.open()
         self.service = None
 
     def connect(self, address: str, pool: int) -> Callable[..., Awaitable[Reply]]:
@@ -578,14 +618,19 @@
         self.cuts: set[str] = set()
         self.tasks: set[asyncio.Task[Any]] = set()
 
-    def spawn(self, work: Any) -> None:
-        task = asyncio.get_running_loop().create_task(work)
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
+        """A routine of the world's own, also when a node asks for it."""
+        task = asyncio.get_running_loop().create_task(work, context=Context())
+        self.keep(task)
+        return task
+
+    def keep(self, task: "asyncio.Task[Any]") -> None:
         self.tasks.add(task)
         task.add_done_callback(self._spawned)
 
     def _spawned(self, task: asyncio.Task[Any]) -> None:
         self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
+        if not task.cancelled() and task.exception() is not None and not isinstance(task.exception(), Unreachable):
             self.errors.append(task.exception())
 
     def rule(self, holds: bool, what: str) -> None:
@@ -596,6 +641,17 @@
     # -- messages -----------------------------------------------------------------------------
 
     async def carry(self, node: Node, address: str, method: str, path: str, body: Any, patience: timedelta) -> Reply:
+        """A request of a node's. What is on its way goes on without the node, which may stand still."""
+        work = self.spawn(self._carry(node, address, method, path, body, patience))
+        try:
+            async with asyncio.timeout(patience.total_seconds()):
+                return await asyncio.shield(work)
+        except TimeoutError:
+            raise Unreachable("no answer") from None
+
+    async def _carry(self, node: Node, address: str, method: str, path: str, body: Any, patience: timedelta) -> Reply:
+        request = Request(method, path, b"" if body is None else orjson.dumps(body))
+
         async def deliver() -> Reply:
             if address == "10.2.0.1:1":
                 return await self.state.handle(node.name, method, path, body)
@@ -609,15 +665,28 @@
                     await asyncio.sleep(0.1)
                 if worker.dead:
                     raise Unreachable("gone")
+                if method == "GET":
+                    return reply(200, worker.body())
                 return worker.direct(body)
             for peer in self.nodes:
-                if address == f"10.0.0.{peer.index + 1}:8081" and peer.service is not None:
-                    response = await peer.service.back(Request(method, path, b""))
-                    return Reply(response.status, response.body)
+                if address == f"10.0.0.{peer.index + 1}:8081":
+                    if "peers" in peer.lost:
+                        await asyncio.sleep(patience.total_seconds())
+                    response = await peer.serve(lambda service: service.back(request))
+                    if response is not None:
+                        return Reply(response.status, response.body)
             raise Unreachable("refused")
 
         luck = self.draw.random()
         await asyncio.sleep(self.draw.uniform(0.002, 0.02) + node.slow)
+        way = node.lost.get(target_of(address))
+        if way == "refused" or (way == "flaky" and self.draw.random() < 0.5):
+            raise Unreachable("refused")
+        if way == "silent" or way == "answers":
+            if way == "answers":
+                await deliver()
+            await asyncio.sleep(patience.total_seconds())
+            raise Unreachable("nothing comes back")
         if not self.calm and not path.startswith("/watch"):
             if luck < 0.01:
                 await asyncio.sleep(patience.total_seconds())
@@ -630,11 +699,7 @@
                 self.spawn(self.late(deliver))
                 await asyncio.sleep(patience.total_seconds())
                 raise Unreachable("held; may still run")
-        try:
-            async with asyncio.timeout(patience.total_seconds()):
-                return await deliver()
-        except TimeoutError:
-            raise Unreachable("no answer") from None
+        return await deliver()
 
     async def late(self, deliver: Callable[[], Awaitable[Reply]]) -> None:
         await asyncio.sleep(self.draw.uniform(2.0, 30.0))
@@ -652,19 +717,23 @@
             await asyncio.sleep(4.0)
             return None
         await asyncio.sleep(self.draw.uniform(0.001, 0.01) + node.slow)
-        service = node.service
-        if service is None:
+        way = node.lost.get("workers")
+        if way == "refused" or (way == "flaky" and self.draw.random() < 0.5):
+            return None
+        if way in ("silent", "answers"):
+            if way == "answers":
+                self.spawn(node.serve(lambda service: service.public(Request("POST", "/hello", raw))))
+            await asyncio.sleep(4.0)
             return None
         try:
             async with asyncio.timeout(4.0):
-                return await service.public(Request("POST", "/hello", raw))
+                return await node.serve(lambda service: service.public(Request("POST", "/hello", raw)))
         except TimeoutError:
             return None
 
     async def late_hello(self, node: Node, raw: bytes) -> None:
         await asyncio.sleep(self.draw.uniform(1.0, 20.0))
-        if node.service is not None:
-            await node.service.public(Request("POST", "/hello", raw))
+        await node.serve(lambda service: service.public(Request("POST", "/hello", raw)))
 
     # -- rules --------------------------------------------------------------------------------
 
@@ -736,16 +805,16 @@
         if not up:
             await asyncio.sleep(0.1)
             return 0, {}
-        service = self.draw.choice(up).service
-        assert service is not None
+        node = self.draw.choice(up)
         await asyncio.sleep(self.draw.uniform(0.001, 0.02))
         lost = not self.calm and self.draw.random() < 0.03
+        raw = orjson.dumps(body) if body else b""
         try:
             async with asyncio.timeout(5.0):
-                response = await service.public(Request(method, path, orjson.dumps(body) if body else b""))
+                response = await node.serve(lambda service: service.public(Request(method, path, raw)))
         except TimeoutError:
             return 0, {}
-        if lost:
+        if lost or response is None:
             return 0, {}
         return response.status, orjson.loads(response.body)
 
@@ -861,6 +930,27 @@
                 self.state.refuses.add(node.name)
                 await asyncio.sleep(30)
                 self.state.refuses.discard(node.name)
+        elif kind == "paused":
+            # Not dead: its sockets stay open, and it goes on where it was.
+            node = self.leader() if draw.random() < 0.7 else draw.choice(self.nodes)
+            gate = node.gate
+            gate.shut()
+            await asyncio.sleep(draw.choice([1.0, 4.0, 12.0, 40.0]) * draw.uniform(0.7, 1.5))
+            gate.open()
+        elif kind == "partly":
+            # Some of the network is lost to one node or two, in one way each.
+            for node in draw.sample(self.nodes, draw.choice([1, 1, 2])):
+                what = draw.sample(["state", "workers", "peers", "cloud"], draw.choice([1, 1, 2, 3]))
+                self.spawn(self.lose(node, what, draw.uniform(3, 25)))
+        elif kind == "boots":
+            # Machines come up late, never, or at once for a while.
+            self.cloud.boot_factor, self.cloud.boot_fails = draw.choice([(4.0, 0.1), (1.0, 0.6), (0.05, 0.0)])
+            await asyncio.sleep(draw.uniform(10, 40))
+            self.cloud.boot_factor, self.cloud.boot_fails = 1.0, 0.05
+        elif kind == "lag":
+            self.cloud.lag = draw.uniform(4.0, 20.0)
+            await asyncio.sleep(draw.uniform(10, 40))
+            self.cloud.lag = 2.0
         elif kind == "cut":
             zone = draw.choice(ZONES)
             self.cuts.add(zone)
@@ -892,6 +982,13 @@
             await asyncio.sleep(draw.uniform(5, 20))
             worker.sick = False
 
+    async def lose(self, node: Node, what: list[str], span: float) -> None:
+        for each in what:
+            node.lost[each] = self.draw.choice(["refused", "silent", "answers", "flaky"])
+        await asyncio.sleep(span)
+        for each in what:
+            node.lost.pop(each, None)
+
     async def restart(self, node: Node) -> None:
         if node.service is None:
             return
