--- a/roseweir/leadership/leadership.py
+++ b/roseweir/leadership/leadership.py
@@ -77,8 +77,8 @@
 Reign = Callable[[Term], Coroutine[None, None, None]]
 # Asks the other controllers which leader they know: its name and term.
 AskPeers = Callable[[], Coroutine[None, None, tuple[str, int] | None]]
-# How many of these workers (names and addresses) answer this node, or came to it of late.
-Probe = Callable[[dict[str, str]], Coroutine[None, None, int]]
+# Which of these workers (names and addresses) answer this node, and which came to it some moments ago.
+Probe = Callable[[dict[str, str]], Coroutine[None, None, tuple[list[str], list[str]]]]
 
 
 class Leadership:
@@ -161,10 +161,10 @@
             ask = self._asked
             if ask is None:
                 continue
-            reached = await self._probe(ask.workers)
-            if not reached:
+            reached, came = await self._probe(ask.workers)
+            if not reached and not came:
                 self._stand_back()
-            answer = Reach(ask.term, ask.number, reached)
+            answer = Reach(ask.term, ask.number, reached, came)
             try:
                 await self.state.txn([], [put(REACH + self.settings.name, msgspec.to_builtins(answer))])
             except (Trouble, Unreachable, Conflict, Expired) as e:
@@ -173,8 +173,12 @@
     def _stand_back(self) -> None:
         self.reserve_until = steady() + RESERVE
 
-    async def resign_if_unheard(self, workers: dict[str, str]) -> None:
-        """Most workers have not reported in time: make way if another node reaches them."""
+    async def resign_if_unheard(self, workers: dict[str, str], missing: Callable[[], set[str]]) -> None:
+        """Most workers have not reported in time: make way if another node reaches them, and this one does not.
+
+        Right after a cut of all nodes others reach them too, and so does this one. Those that came to another
+        node were sent here a second ago or more; if they are missing still, their reports do not get through.
+        """
         term = self.term
         if term is None or not term.may_run():
             return
@@ -182,21 +186,24 @@
         ask = Ask(term.number, self._asks, workers)
         try:
             await self.state.txn([(LEADER, term.version)], [put(ASK, msgspec.to_builtins(ask))])
+            own, _ = await self._probe(workers)
             for _ in range(ASK_LOOKS):
                 await pause(ASK_LOOK)
                 entries, _ = await self.state.scan(REACH)
-                answers = [(e.key.removeprefix(REACH), msgspec.convert(e.value, Reach)) for e in entries]
-                for name, found in answers:
-                    mine = (found.term, found.number) == (ask.term, ask.number) and name != self.settings.name
-                    # Without addresses only those count that came; in search of a leader they
-                    # come to any of the others, every few seconds.
-                    if mine and found.reached * ENOUGH > len(workers):
+                for entry in entries:
+                    name, found = entry.key.removeprefix(REACH), msgspec.convert(entry.value, Reach)
+                    if (found.term, found.number) != (ask.term, ask.number) or name == self.settings.name:
+                        continue
+                    better = set(found.came)
+                    if len(own) * ENOUGH <= len(workers):
+                        better |= set(found.reached)
+                    if len(better & missing()) * ENOUGH > len(workers):
                         await self._resign(term, f"{name} reaches workers that this node does not hear")
                         return
         except (Trouble, Unreachable, Conflict, Expired, msgspec.ValidationError) as e:
             log.debug("asking about workers: %s", e)
         else:
-            log.info("most workers have not reported, and no other controller reaches them")
+            log.info("most workers have not reported, and no other controller reaches them better")
         await pause(ASK_GAP)
 
     async def _resign(self, term: Term, reason: str) -> None:
--- a/roseweir/leadership/messages.py
+++ b/roseweir/leadership/messages.py
@@ -26,8 +26,9 @@
 
 
 class Reach(msgspec.Struct):
-    """How many of those asked about answer this node, or came to it of late."""
+    """Which of those asked about answer this node, and which came to it and were sent on in vain."""
 
     term: int
     number: int
-    reached: int
+    reached: list[str]
+    came: list[str]
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -23,6 +23,10 @@
 CLEAR_STARTS = 2
 
 
+# How many places could not be made free for a job of this kind, in one pass.
+Barren = dict[tuple[object, ...], int]
+
+
 @dataclass(slots=True)
 class Pass:
     """What a pass found out, for the cloud's planning: tasks that found no room."""
@@ -36,14 +40,14 @@
     return f"{spec.team}:{spec.image}"
 
 
-def usable(machine: Machine, board: Board, now: datetime) -> bool:
-    return (
-        machine.shown
-        and not machine.leaving
-        and machine.recall_at is None
-        and machine.sick_until <= now
-        and now - machine.heard <= board.settings.params.workers.report * 2 + timedelta(seconds=1.5)
-    )
+def usable(board: Board, now: datetime) -> list[Machine]:
+    """Machines that tasks may be started on."""
+    heard = now - board.settings.params.workers.report * 2 - timedelta(seconds=1.5)
+    return [
+        m
+        for m in board.machines.values()
+        if m.shown and not m.leaving and m.recall_at is None and m.sick_until <= now and m.heard >= heard
+    ]
 
 
 def mark_covered(board: Board) -> None:
@@ -97,12 +101,15 @@
 def plan(board: Board, now: datetime) -> Pass:
     result = Pass()
     mark_covered(board)
-    open_machines = [m for m in board.machines.values() if usable(m, board, now)]
+    open_machines = usable(board, now)
     reserves = _reserves(board, open_machines, now)
+    waiting = queue(board)
+    roomy = _roomy(waiting, open_machines)
+    barren: Barren = {}
     reserved: dict[str, datetime] = {}
     claimed: dict[str, Usage] = {}
     full: set[tuple[object, ...]] = set()
-    for run in queue(board):
+    for run in waiting:
         spec = run.spec
         wanted = run.pending
         if run.first_wait == NEVER:
@@ -123,7 +130,7 @@
         if shape in full and not run.error_machines:
             result.left.append((run, allowed))
             continue
-        candidates = _candidates(board, run, open_machines, reserved, unwanted, reserves, now)
+        candidates = _candidates(board, run, roomy[spec.gpus > 0], reserved, unwanted, reserves, now)
         if spec.kind == GANG:
             placed = _place_gang(board, run, wanted, candidates, reserves, now)
         else:
@@ -139,10 +146,20 @@
             if not candidates and not unwanted:
                 full.add(shape)
             if placed < count:
-                _make_room(board, run, count - placed, open_machines, reserved, now)
+                _make_room(board, run, count - placed, open_machines, reserved, barren, now)
     return result
 
 
+def _roomy(waiting: list[JobRun], machines: list[Machine]) -> tuple[list[Machine], list[Machine]]:
+    """Machines with room for the least that any waiting task takes: for CPU-only tasks, and for those with GPUs.
+
+    Most of a busy fleet is full, and hundreds of small jobs would each look at all of it again.
+    """
+    cpus = min((run.spec.cpus for run in waiting if run.spec.gpus <= 0), default=0.0) - 1e-6
+    gpus = min((run.spec.gpus for run in waiting if run.spec.gpus > 0), default=0.0) - 1e-6
+    return [m for m in machines if m.free_cpus >= cpus], [m for m in machines if m.free_gpus >= gpus]
+
+
 def _reserves(board: Board, machines: list[Machine], now: datetime) -> dict[str, float]:
     """CPUs for each GPU that CPU-only work has to leave free, by machine.
 
@@ -363,7 +380,13 @@
 
 
 def _make_room(
-    board: Board, run: JobRun, missing: int, machines: list[Machine], reserved: dict[str, datetime], now: datetime
+    board: Board,
+    run: JobRun,
+    missing: int,
+    machines: list[Machine],
+    reserved: dict[str, datetime],
+    barren: Barren,
+    now: datetime,
 ) -> None:
     """Keep later jobs off the machines that will soonest have room, and stop others' work if allowed.
 
@@ -386,8 +409,15 @@
         for when, machine in best[1]:
             # In order of time: of several places on a machine, the last one decides.
             reserved[machine.name] = best[0] if spec.kind == GANG else when
-    if now - run.first_wait >= PREEMPT_AFTER or now < board.spill_until:
-        _preempt(board, run, groups, wanted, now)
+    if now - run.first_wait < PREEMPT_AFTER and now >= board.spill_until:
+        return
+    # Where one job found nobody to stop, another like it does not look again in the same pass.
+    like = (spec.team, run.covered, spec.priority, spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.one_zone)
+    key = (*like, spec.spot, tuple(spec.types or ("*",)))
+    if wanted >= barren.get(key, 1 << 30):
+        return
+    if not _preempt(board, run, groups, wanted, now) and not run.error_machines and not run.placed:
+        barren[key] = wanted
 
 
 def _groups(run: JobRun, machines: list[Machine]) -> list[list[Machine]]:
@@ -467,8 +497,11 @@
     return over_gpus or over_cpus
 
 
-def _preempt(board: Board, run: JobRun, groups: list[list[Machine]], wanted: int, now: datetime) -> None:
-    """Make room for one task at a time, for a gang's together, where the least work is lost."""
+def _preempt(board: Board, run: JobRun, groups: list[list[Machine]], wanted: int, now: datetime) -> bool:
+    """Make room for one task at a time, for a gang's together, where the least work is lost.
+
+    False if there are not enough places that can be made free.
+    """
     best: tuple[float, list[Machine], list[Placement]] | None = None
     for group in groups:
         slots: list[tuple[float, str, Machine, list[Placement]]] = []
@@ -476,19 +509,19 @@
             if machine.name in run.error_machines or _promised_away(board, machine, run.spec, now):
                 continue
             if _promised_to(board, machine, now) == run.spec.id and run.spec.kind != GANG:
-                return  # room is already being made
+                return True  # room is already being made
             slots += _slots(board, run, machine, wanted, now)
         if len(slots) < wanted:
             continue
         slots.sort(key=lambda slot: slot[:2])
         if run.spec.kind != GANG and not slots[0][3]:
-            return  # there is room, or it is already being made
+            return True  # there is room, or it is already being made
         slots = slots[:wanted]
         lost = sum(slot[0] for slot in slots)
         if best is None or lost < best[0]:
             best = (lost, [slot[2] for slot in slots], [victim for slot in slots for victim in slot[3]])
     if best is None:
-        return
+        return False
     for machine in best[1]:
         machine.promised, machine.promised_until = run.spec.id, now + PROMISE
     for victim in best[2]:
@@ -496,6 +529,7 @@
         board.stop_gently(victim, now, urgent=True)
     if best[2]:
         board.changed = True
+    return True
 
 
 def _slots(
--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -228,14 +228,22 @@
         batch = Batch(guards={LEADER: self.leader_version})
         planned = [p for p in board.planned if p.phase == Phase.PLANNED and p.run.placed.get(p.index) is p]
         completions: list[tuple[JobRun, int]] = []
+        complete: list[JobRun] = []
         for job_id in list(board.dirty_jobs):
             run = board.jobs.get(job_id)
             if run is None or run.over or not run.unsaved:
                 board.dirty_jobs.discard(job_id)
             elif not run.complete:
                 completions += [(run, index) for index in run.unsaved]
-            elif batch.size < TXN_BYTES // 4:
-                self._end_job(batch, run, most - len(self.notes))
+            else:
+                complete.append(run)
+        complete.sort(key=lambda run: (not run.covered, run.spec.priority, run.spec.accepted_ms))
+        for run in complete:
+            # Each end takes two changes and more. A swarm of small jobs ended in their hundreds before
+            # any start was recorded: 4,800 tasks of others waited for a note (own day, swarm).
+            if batch.size >= TXN_BYTES // 4 or (batch.finished and (planned or completions)):
+                break
+            self._end_job(batch, run, most - len(self.notes))
         board.planned = self._add_notes(batch, planned, completions, most)
         self._fold(batch, most, spare)
         return batch
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -23,6 +23,8 @@
 
 # Passes are this far apart at least, so that planning takes a bounded part of the processor.
 PLAN_GAP = timedelta(milliseconds=60)
+# After a pass that took longer, planning rests for so many times as long.
+PLAN_REST = 3
 # Without news the board is still looked at this often: leases run out, limits refill.
 PLAN_IDLE = timedelta(milliseconds=500)
 REPORT = timedelta(seconds=15)
@@ -141,7 +143,7 @@
                 self.cloud.last_pass = Pass()
             if board.dirty_machines or board.dirty_jobs:
                 self.recorder.work.set()
-            await pause(PLAN_GAP)
+            await pause(max(PLAN_GAP, (steady() - now) * PLAN_REST))
 
     async def _limits(self) -> None:
         """Renew leases while the cause holds: a zone with machines may see fetches."""
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -12,7 +12,7 @@
 from roseweir.clock import NEVER, pause, seconds, steady
 from roseweir.cloud.client import CloudClient, NoCapacity
 from roseweir.http import Connect, Request, Response, Transport, Unreachable, connect, json_response, serve
-from roseweir.leadership.leadership import ENOUGH, Leadership, Term
+from roseweir.leadership.leadership import Leadership, Term
 from roseweir.leadership.messages import TERM
 from roseweir.reign import Reign
 from roseweir.settings import Settings, Tuning
@@ -35,8 +35,11 @@
 # How many workers are asked about, and how many checks in a row must find most of them overdue.
 ASKED, CHECKS = 16, 2
 LOOK = seconds(0.25)
-# For how long a worker that came counts as one that reaches this node, and how many are remembered.
-CAME, CALLERS = seconds(5), 4096
+# Jobs asked about in one request to the leader: it has to fit 64 KiB.
+ASKED_AT_ONCE = 2000
+# A worker that came is with the leader a second later, if it can be. It counts as one that reaches this node
+# for so long; and so many are remembered.
+SENT_ON, CAME, CALLERS = seconds(1), seconds(6), 4096
 
 
 class Service:
@@ -70,6 +73,7 @@
     async def duties(self) -> None:
         async with asyncio.TaskGroup() as group:
             group.create_task(self.desk.commits.run())
+            group.create_task(self.desk.view.run())
             group.create_task(self._learn_catalog())
             group.create_task(self._watch_state())
             group.create_task(self._watch_workers())
@@ -152,26 +156,32 @@
                     self.reign.cloud.hear_first()
                 overdue = 0
                 continue
-            reign = self.reign
-            missed = [] if reign is None or not reign.open else reign.board.overdue(now)
+            missed = self._overdue()
             overdue = overdue + 1 if missed and now - before < LOOK * 2 else 0
             if overdue >= CHECKS:
-                step = ceil(len(missed) / ASKED)
-                await self.leadership.resign_if_unheard({m.name: m.address for m in missed[::step]})
+                names = sorted(missed)
+                some = names[:: ceil(len(names) / ASKED)]
+                await self.leadership.resign_if_unheard({n: missed[n] for n in some}, lambda: set(self._overdue()))
                 overdue = 0
 
-    async def _probe_workers(self, workers: dict[str, str]) -> int:
+    def _overdue(self) -> dict[str, str]:
+        """Names and addresses of the workers that this leader misses, if they are most of all."""
+        reign = self.reign
+        return {m.name: m.address for m in reign.board.overdue(steady())} if reign is not None and reign.open else {}
+
+    async def _probe_workers(self, workers: dict[str, str]) -> tuple[list[str], list[str]]:
         async def ask(address: str) -> bool:
+            if not address:
+                return False
             try:
                 return (await self._connect(address, 0)("GET", "/status", patience=PROBE_PATIENCE)).status == 200
             except Unreachable:
                 return False
 
-        since = steady() - CAME
-        came = sum(self._came.get(name, NEVER) >= since for name in workers)
-        if came * ENOUGH > len(workers):
-            return came
-        return sum(await asyncio.gather(*(ask(address) for address in workers.values() if address)))
+        answers = await asyncio.gather(*(ask(address) for address in workers.values()))
+        now = steady()
+        came = [name for name in workers if SENT_ON <= now - self._came.get(name, NEVER) <= CAME]
+        return [name for name, reached in zip(workers, answers, strict=True) if reached], came
 
     def _note_caller(self, request: Request) -> None:
         """A worker that reports to a node that does not lead is in search of one that does."""
@@ -249,9 +259,12 @@
             return json_response(200 if await self._reaches_state() else 503, {})
         if path == "/status":
             return json_response(200, self.status())
-        if path.startswith("/progress/"):
-            done, running = self._count(path.removeprefix("/progress/"))
-            return json_response(200, {"done": done, "running": running})
+        if path == "/progress":
+            try:
+                jobs = msgspec.json.decode(request.body, type=list[str])
+            except msgspec.DecodeError as e:
+                return json_response(400, {"error": str(e)})
+            return json_response(200, {job_id: self._count(job_id) for job_id in jobs})
         return json_response(404, {"error": "no such path"})
 
     def limits(self) -> dict[str, Any]:
@@ -291,18 +304,18 @@
         running = sum(1 for p in run.placed.values() if p.state in (wire.RUNNING, wire.SAVING))
         return run.done_count - len(run.unsaved), running
 
-    async def _progress(self, job_id: str) -> tuple[int, int]:
+    async def _progress(self, jobs: list[str]) -> dict[str, tuple[int, int]]:
         if self.reign is not None:
-            return self._count(job_id)
+            return {job_id: self._count(job_id) for job_id in jobs}
         leader = self.leadership.leader
         peer = None if leader is None else self._peers.get(leader.name)
         if peer is None:
-            return 0, 0
+            return {}
         try:
-            found = (await peer("GET", f"/progress/{job_id}", patience=PEER_PATIENCE)).json()
-            return int(found["done"]), int(found["running"])
-        except (Unreachable, KeyError, TypeError, ValueError):
-            return 0, 0
+            reply = await peer("POST", "/progress", jobs[:ASKED_AT_ONCE], patience=PEER_PATIENCE)
+            return msgspec.json.decode(reply.body, type=dict[str, tuple[int, int]])
+        except (Unreachable, msgspec.DecodeError):
+            return {}
 
 
 def split(address: str) -> tuple[str, int]:
--- a/roseweir/state/client.py
+++ b/roseweir/state/client.py
@@ -176,11 +176,13 @@
         if reply.status not in (200, 404):
             raise Trouble(f"state service answered {reply.status}")
 
-    async def watch(self, prefix: str, after: int, block: timedelta) -> tuple[list[Item], int] | None:
+    async def watch(
+        self, prefix: str, after: int, block: timedelta, patience: timedelta = PATIENCE
+    ) -> tuple[list[Item], int] | None:
         """Changes after a revision, and the revision they reach; None when the keys must be read again."""
         block_ms = round(block.total_seconds() * 1000)
         path = f"/watch?prefix={quote(prefix, safe='')}&after={after}&block_ms={block_ms}"
-        reply = await self._call("GET", path, patience=block + PATIENCE)
+        reply = await self._call("GET", path, patience=block + patience)
         if reply.status == 410:
             return None
         if reply.status != 200:
--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -1,13 +1,13 @@
 """The users' API. Any node serves it; the state service has the last word on every answer.
 
-No answer may be older than one that any node has given, so a poll reads the job's key each time.
-Only an end is remembered: it never changes again.
+No answer may be older than one that any node has given, so each poll waits for a read that was sent after
+it came. Only an end is remembered: it never changes again.
 """
 
 import logging
 import re
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -33,15 +33,18 @@
 )
 from roseweir.submissions.messages import JOB_ID, HasId, Submission, standing
 from roseweir.submissions.progress import chunk_keys
+from roseweir.submissions.view import Progress, View
 
 log = logging.getLogger(__name__)
 
 COME_BACK = timedelta(seconds=1)
+GUEST_BACK = timedelta(seconds=3)
+# The part of the state service's changes that jobs of teams without a guarantee may take, and how many
+# changes each takes: its acceptance and its end. So many seconds' worth may come at once.
+GUEST_SHARE, JOB_CHANGES, GUEST_BURST = 0.5, 3, 10.0
 REMEMBERED = 20_000
 TRIES = 3
 
-Progress = Callable[[str], Awaitable[tuple[int, int]]]
-
 _ID = re.compile(JOB_ID)
 
 
@@ -55,10 +58,13 @@
         self.teams = {team.name: team for team in settings.params.teams}
         self.catalog: Sequence[MachineType] | None = None
         self.commits = Commits(state, most_waiting=8 * settings.params.state.txn_ops)
-        self._progress = progress
+        self.view = View(state, len(settings.peers) + 1, progress)
         self._ended: OrderedDict[str, str] = OrderedDict()
         # A flood of polls must leave the state service to renewals and records.
         self._reads = Pace(settings.params.state.rps * 0.25)
+        self._guests = Pace(
+            settings.params.state.write_rps * GUEST_SHARE / JOB_CHANGES / (len(settings.peers) + 1), GUEST_BURST
+        )
 
     async def serve(self, request: Request) -> Response:
         try:
@@ -101,6 +107,12 @@
             return await self._known(job_id) or json_response(
                 status, {"error": error}, COME_BACK if status == 503 else None
             )
+        team = self.teams[spec.team]
+        if team.cpus <= 0 and team.gpus <= 0 and not self._guests.spend():
+            # A guest's swarm must leave the records of everybody's starts and ends their changes.
+            return await self._known(job_id) or json_response(
+                429, {"error": "more jobs than this team may submit at once"}, GUEST_BACK
+            )
         try:
             await self.commits.commit([(LIVE + job_id, 0), (OVER + job_id, 0)], [put(LIVE + job_id, stored(spec))])
         except Conflict:
@@ -154,10 +166,9 @@
         state = self._ended.get(job_id)
         if state is not None:
             return state, 0, 0
-        self._spend()
-        live = await self.state.get(LIVE + job_id)
+        live = await self.view.ask(job_id)
         if live is not None:
-            done, running = await self._progress(job_id)
+            done, running = live
             return ("running" if running else "queued"), done, running
         self._spend()
         over = await self.state.get(OVER + job_id)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -4,13 +4,16 @@
 from typing import Any, cast
 
 import orjson
+import pytest
 
 from roseweir.bell import Bell
+from roseweir.clock import seconds
+from roseweir.placement import plan as plan_module
 from roseweir.placement.board import Board
 from roseweir.placement.model import Phase
 from roseweir.placement.plan import plan
 from roseweir.placement.record import NOTES
-from roseweir.placement.recorder import Recorder
+from roseweir.placement.recorder import Batch, Recorder
 from roseweir.state import StateClient
 from roseweir.submissions.jobs import GANG
 from tests import virtual
@@ -116,3 +119,57 @@
     third.report(NOW)
     plan(board, NOW)
     assert len(gang.placed) == 3 and len(array.placed) == 0
+
+
+def test_ends_of_a_swarm_do_not_hold_up_the_records_of_starts() -> None:
+    """Beside starts one job ends in a batch, a job within its guarantee first."""
+    board, hands = fleet(20)
+    now = NOW + seconds(1)
+    for number in range(100):
+        run = board.add_job(job(1000 + number, team="guest", priority=3), 1)
+        run.mark_done(0)
+        run.unsaved.add(0)
+        board.dirty_jobs.add(run.spec.id)
+    owner = board.add_job(job(5000, gpus=1.0), 1)
+    owner.covered = True
+    owner.mark_done(0)
+    owner.unsaved.add(0)
+    board.dirty_jobs.add(owner.spec.id)
+    board.add_job(job(6000, tasks=50), 1)
+    for hand in hands:
+        hand.report(now)
+        hand.report(now)
+    plan(board, now)
+    assert board.planned
+    recorder = Recorder(cast(StateClient, Counting()), board, 1, Bell())
+
+    async def batched() -> Batch:
+        return recorder._batch(spare=10.0)
+
+    batch = virtual.run(batched())
+    assert batch.notes and [run.spec.id for run in batch.finished] == ["j-005000"]
+    assert not board.planned
+
+
+def test_passes_over_a_swarm_look_at_machines_with_room_only(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each of 500 one-task jobs looked at every one of 700 machines, though almost all were full."""
+    board, hands = fleet(200)
+    now = NOW + seconds(1)
+    for hand in hands:
+        hand.report(now)
+        hand.report(now)
+    board.add_job(job(1, tasks=200 * 8 - 40), 1)
+    plan(board, now)
+    for number in range(500):
+        board.add_job(job(100 + number), 1)
+    seen = 0
+    suits = plan_module.suits
+
+    def counted(*args: object) -> bool:
+        nonlocal seen
+        seen += 1
+        return suits(*args)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(plan_module, "suits", counted)
+    assert plan(board, now).placed == 40
+    assert seen < 40 * 20
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -162,6 +162,48 @@
     play(scene)
 
 
+def test_polls_that_wait_share_one_read() -> None:
+    """With a read each, the polls of a swarm of small jobs took the leader's renewals with them."""
+
+    async def scene(world: World) -> None:
+        for i in range(40):
+            assert (await ask(world, "POST", "/submissions", job(name_id=f"j-{i:06d}")))[0] == 201
+        reads = 0
+        handle = world.state.handle
+
+        async def counted(node: str, method: str, path: str, body: Any) -> Any:
+            nonlocal reads
+            # The leader's own watch waits for news; what polls ask for is answered at once.
+            reads += node == "n1" and (path.startswith("/store/") or "block_ms=0" in path)
+            return await handle(node, method, path, body)
+
+        world.state.handle = counted  # type: ignore[method-assign]
+        polls = [ask(world, "GET", f"/submissions/j-{i % 40:06d}", node=1) for i in range(400)]
+        answers = await asyncio.gather(*polls)
+        assert {status for status, _ in answers} == {200}
+        assert reads <= 3
+        assert (await ask(world, "POST", "/submissions/j-000007/cancel", node=0))[0] == 200
+        assert (await ask(world, "GET", "/submissions/j-000007", node=1))[1]["standing"] == "aborted"
+
+    play(scene)
+
+
+def test_a_guests_swarm_is_told_when_to_come_back_and_an_owners_job_goes_through() -> None:
+    async def scene(world: World) -> None:
+        def guest(i: int) -> dict[str, Any]:
+            wire = job(name_id=f"j-1{i:05d}", crew="guest", accelerators=0.0, parcels=1)
+            return world.jobs.setdefault(wire["name_id"], wire)
+
+        statuses = [(await ask(world, "POST", "/submissions", guest(i)))[0] for i in range(300)]
+        assert statuses[:20] == [201] * 20
+        assert set(statuses) == {201, 429} and statuses.count(429) > 100
+        assert (await ask(world, "POST", "/submissions", job()))[0] == 201
+        # A retry of an accepted job is answered as such, however full the share is.
+        assert (await ask(world, "POST", "/submissions", guest(0)))[0] == 200
+
+    play(scene)
+
+
 def test_group_commit_keeps_a_conflict_to_itself() -> None:
     async def scene(world: World) -> None:
         state = StateClient("10.2.0.1:1", settings(0).params.state, world.nodes[0].connect)
--- a/tests/world.py
+++ b/tests/world.py
@@ -60,6 +60,7 @@
                 "teams": [
                     {"name": "t0", "gpus": 2.0, "gpus_max": TEAM_MAX},
                     {"name": "t1", "gpus": 2.0, "gpus_max": TEAM_MAX},
+                    {"name": "guest"},
                 ],
                 "objectives": [{"kind": "guarantee", "within_s": 10.0, "share": 0.9}],
                 "workers": {
