--- a/roseweir/cloud/desk.py
+++ b/roseweir/cloud/desk.py
@@ -166,6 +166,9 @@
         for machine, why in chosen:
             if not machine.leaving:
                 log.info("giving back %s (%s in %s): %s", machine.name, machine.type.name, machine.zone, why)
+                if why == "never came up":
+                    # Another of the kind may not come up either: for a while others go first.
+                    self.refused[machine.type.name, machine.zone, machine.spot] = now + machine.type.boot
             machine.leaving = True
         names = [machine.name for machine, why in chosen if not machine.placements or why == "silent"]
         if not names:
--- a/roseweir/cloud/plan.py
+++ b/roseweir/cloud/plan.py
@@ -26,6 +26,9 @@
 # Machines usually come up within 1.5 times the catalog's figure; some take several times as long.
 BOOT_LATE = 2.0
 BOOT_NEVER = 4.0
+# Boots of a type are slow when most of those under way are late, if there are so many; and the next ones may
+# take so many times as long as the slowest of late.
+SLOW_BOOTS, BOOT_SPREAD = 3, 1.25
 # A deleted machine costs a minute at least.
 LEAST_CHARGED = timedelta(seconds=60)
 MOST_AT_ONCE = 10
@@ -108,12 +111,38 @@
     return wants, exhausted
 
 
+def _late(board: Board, now: datetime) -> dict[str, float]:
+    """After how many times the catalog's figure a machine of each type counts no longer as one that will come.
+
+    When most of those that a type has booting are late, or some came up as late, boots are slow: others
+    would be as late, and ordering them all again would buy everything twice.
+    """
+    booting: dict[str, list[bool]] = {}
+    for machine in board.machines.values():
+        if machine.booting and not machine.leaving:
+            late = now - machine.rented_at > machine.type.boot * BOOT_LATE
+            booting.setdefault(machine.type.name, []).append(late)
+    factors: dict[str, float] = {}
+    for name, late_ones in booting.items():
+        slow = len(late_ones) >= SLOW_BOOTS and sum(late_ones) * 2 > len(late_ones)
+        factor = BOOT_NEVER if slow else BOOT_LATE
+        factors[name] = max(factor, board.boot_factor(board.catalog[name], now) * BOOT_SPREAD)
+    return factors
+
+
+def _never(board: Board, machine: Machine, now: datetime) -> timedelta:
+    """After how long a machine that has not come up goes back."""
+    factor = max(BOOT_NEVER, board.boot_factor(machine.type, now) * BOOT_SPREAD)
+    return machine.type.boot * factor + seconds(10)
+
+
 def _standing(board: Board, now: datetime) -> Iterable[Machine]:
     """Machines that run, or should be up in time."""
+    late = _late(board, now)
     for machine in board.machines.values():
         if machine.leaving or machine.recall_at is not None or machine.sick_until > now:
             continue
-        if machine.booting and now - machine.rented_at > machine.type.boot * BOOT_LATE:
+        if machine.booting and now - machine.rented_at > machine.type.boot * late.get(machine.type.name, BOOT_LATE):
             continue
         if not machine.booting and board.silent(machine, now) > board.lease:
             continue
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -27,11 +28,11 @@
 SICK_JOBS = 2
 # After a first failure nothing starts there for a moment: the next failures tell whose fault it is.
 PAUSED = timedelta(seconds=15)
-# A job that failed on this many machines and succeeded nowhere is taken for mistaken.
-MISTAKEN_MACHINES = 3
 # A machine goes back when this many arrays in a row took so much longer there than on average, judged
 # by at least so many tasks and machines. Healthy machines of a type differ by a tenth.
 SLOW_JOBS, SLOW_FACTOR, SLOW_TASKS, SLOW_PEERS = 2, 2.0, 3, 4
+# Boots that tell how long the next ones may take: so many, and for how long.
+BOOTS_KEPT, BOOTS_FOR = 20, timedelta(minutes=3)
 # By how much a worker's report may be later than two of its intervals.
 ON_TIME, FIRST_TIME = timedelta(seconds=0.75), timedelta(seconds=5)
 # An estimate says little about a task that has only just begun.
@@ -77,6 +78,8 @@
         self.obtained: set[tuple[str, str, bool]] = set()
         # Zones most of whose machines are heard, and since when.
         self.talking_since: dict[str, datetime] = {}
+        # How long machines of a type took to come up lately, as a multiple of the catalog's figure.
+        self.boots: dict[str, deque[tuple[datetime, float]]] = {}
         self._attempts = 0
         # What the recorder has to write, and what the planner should look at again.
         self.planned: list[Placement] = []
@@ -268,6 +271,9 @@
         if machine is None:
             machine = Machine(report.machine, kind, report.zone, report.spot, known_since=now)
             self.machines[report.machine] = machine
+        if machine.booting and machine.rented and machine.rented_at > NEVER:
+            taken = (now - machine.rented_at) / max(kind.boot, seconds(1))
+            self.boots.setdefault(kind.name, deque(maxlen=BOOTS_KEPT)).append((now, taken))
         if machine.booting or not machine.address:
             machine.idle_since = now if not machine.placements else NEVER
             machine.gpus_idle_since = now
@@ -462,7 +468,7 @@
         run, machine = placement.run, placement.machine
         run.failures += 1
         run.error_machines.add(machine.name)
-        if len(run.error_machines) >= MISTAKEN_MACHINES and run.done_count == 0:
+        if run.mistaken:
             # The job speaks against itself, not against the machines that it failed on.
             for other in self.machines.values():
                 if other.suspect_jobs == {run.spec.id} and not other.leaving:
@@ -568,6 +574,10 @@
             sum(m.free_gpus for m in self.machines.values() if m.shown),
         )
 
+    def boot_factor(self, kind: MachineType, now: datetime) -> float:
+        """The slowest of the boots of this type that ended lately, as a multiple of the catalog's figure."""
+        return max((taken for at, taken in self.boots.get(kind.name, ()) if now - at < BOOTS_FOR), default=0.0)
+
     def overdue(self, now: datetime) -> list[Machine]:
         """Machines whose reports should have come, if these are most of all; else none.
 
--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -9,6 +9,9 @@
 from roseweir.clock import NEVER
 from roseweir.submissions.jobs import CHUNK_TASKS, GANG, SERVICE, JobSpec, MachineType
 
+# A job that failed on this many machines and succeeded nowhere is taken for mistaken.
+MISTAKEN_MACHINES = 3
+
 
 class Phase(IntEnum):
     PLANNED = 0  # chosen, not yet in the state service
@@ -85,6 +88,11 @@
         self.done_count += 1
         return True
 
+    @property
+    def mistaken(self) -> bool:
+        """It failed on several machines and succeeded nowhere: the fault is most likely its own."""
+        return len(self.error_machines) >= MISTAKEN_MACHINES and self.done_count == 0
+
     @property
     def complete(self) -> bool:
         return self.spec.kind != SERVICE and self.done_count >= self.spec.tasks
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -94,7 +94,8 @@
 
 def queue(board: Board) -> list[JobRun]:
     waiting = [run for run in board.jobs.values() if run.pending > 0]
-    waiting.sort(key=lambda run: (not run.covered, run.spec.priority, *_arrival(run)))
+    # A mistaken job fails wherever it is put: it may try again where nobody else waits for the room.
+    waiting.sort(key=lambda run: (run.mistaken, not run.covered, run.spec.priority, *_arrival(run)))
     return waiting
 
 
@@ -116,7 +117,7 @@
             run.first_wait = now
         claim = claimed.setdefault(spec.team, Usage())
         allowed = min(wanted, _quota(board, spec, claim))
-        if spec.kind == GANG and not run.placed:
+        if spec.kind == GANG and not run.placed and not run.mistaken:
             # A gang takes its part of the team's limit whole. Later jobs of the team leave it that part:
             # arrays took what came free one task at a time, and a gang within the guarantee never began.
             claim.cpus += spec.cpus * wanted
@@ -128,7 +129,8 @@
             continue
         shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot, tuple(spec.types or ("*",)))
         if shape in full and not run.error_machines:
-            result.left.append((run, allowed))
+            if not run.mistaken:
+                result.left.append((run, allowed))
             continue
         candidates = _candidates(board, run, roomy[spec.gpus > 0], reserved, unwanted, reserves, now)
         if spec.kind == GANG:
@@ -138,10 +140,11 @@
         result.placed += placed
         if placed:
             run.first_wait = NEVER
-            if spec.kind == GANG:
+            if spec.kind == GANG and not run.mistaken:
                 claim.cpus -= spec.cpus * placed
                 claim.gpus -= spec.gpus * placed
-        if placed < allowed:
+        if placed < allowed and not run.mistaken:
+            # For a mistaken job no room is made or kept, and nothing is rented.
             result.left.append((run, allowed - placed))
             if not candidates and not unwanted:
                 full.add(shape)
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -27,6 +27,7 @@
 PLAN_REST = 3
 # Without news the board is still looked at this often: leases run out, limits refill.
 PLAN_IDLE = timedelta(milliseconds=500)
+SLEPT = timedelta(seconds=1.5)
 REPORT = timedelta(seconds=15)
 NEWS = timedelta(seconds=1)
 RETRY = timedelta(milliseconds=250)
@@ -125,7 +126,7 @@
 
     async def _plan(self) -> None:
         board = self.board
-        last = NEVER
+        last, looked = NEVER, steady()
         while True:
             try:
                 async with asyncio.timeout(PLAN_IDLE.total_seconds()):
@@ -134,6 +135,12 @@
                 pass
             self.work.clear()
             now = steady()
+            if now - looked > PLAN_IDLE + SLEPT:
+                # This node stood still: reports wait in its buffers, and another may lead.
+                looked = now
+                await pause(PLAN_IDLE)
+                continue
+            looked = now
             board.sweep(now)
             if (board.changed or now - last >= PLAN_IDLE) and self.term.may_run():
                 board.changed = False
