--- a/roseweir/cloud/plan.py
+++ b/roseweir/cloud/plan.py
@@ -269,10 +269,7 @@
             found.append((machine, "leaving"))
         elif machine.booting:
             # One that this leader found in the list may be up for long, and not have reported to it yet.
-            since = max(
-                machine.rented_at + machine.type.boot * BOOT_NEVER + seconds(10), machine.known_since + patience
-            )
-            if now > since:
+            if now > max(machine.rented_at + _never(board, machine, now), machine.known_since + patience):
                 found.append((machine, "never came up"))
         elif machine.recall_at is not None and board.silent(machine, now) > workers.report * 2 + seconds(1):
             # The cloud said that it would take it, and it has fallen silent.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -308,6 +308,67 @@
     assert wanted(board, plan(board, NOW), {}, 0, NOW)[0] == []
 
 
+def booting(board: Board, name: str, since: datetime, kind: MachineType = CPU) -> Machine:
+    machine = Machine(name, kind, "a", False, known_since=since)
+    machine.booting = machine.rented = True
+    machine.rented_at = since
+    board.machines[name] = machine
+    return machine
+
+
+def test_slow_boots_are_waited_for_instead_of_being_ordered_again() -> None:
+    """One machine that is late gets a substitute. When most are, others would be as late."""
+    board = new_board()
+    board.add_job(job(1, tasks=64, spot=False, types=["cpu"], zone="a"), 1)
+    machines = [booting(board, f"i-{n}", NOW) for n in range(4)]
+    late = NOW + CPU.boot * 2.5
+    assert wanted(board, plan(board, late), {}, 0, late)[0] == []
+    for machine in machines[1:]:
+        machine.rented_at = late
+    assert sum(w.count for w in wanted(board, plan(board, late), {}, 0, late)[0]) == 1
+
+    # One came up after five times the catalog's figure: the next ones are not given back before that.
+    slow = NOW + CPU.boot * 5
+    machines[0].rented_at = NOW
+    Hand(board, "i-0").report(slow)
+    for machine in machines[1:]:
+        machine.rented_at = NOW
+    assert [why for _, why in surplus(board, Pass(), slow + seconds(9))] == []
+    given_back = surplus(board, Pass(), NOW + CPU.boot * 7 + seconds(9))
+    assert [why for m, why in given_back if m.booting] == ["never came up"] * 3
+
+
+def test_machine_found_booting_in_the_list_may_be_up_and_is_heard_first() -> None:
+    """After a take-over machines at work went back at once: they had been ordered long ago (inc-1d61)."""
+    board = new_board()
+    found = booting(board, "i-1", NOW - seconds(900))
+    found.rented, found.known_since = False, NOW
+    assert surplus(board, Pass(), NOW + seconds(3)) == []
+    assert [why for _, why in surplus(board, Pass(), NOW + seconds(20))] == ["never came up"]
+
+
+def test_for_a_mistaken_job_no_room_is_made_and_it_goes_last() -> None:
+    board = new_board()
+    hands = [Hand(board, f"i-{n}", "gpu") for n in range(4)]
+    for hand in hands:
+        hand.report(NOW)
+    mistaken = board.add_job(job(1, tasks=4, gpus=1.0, kind=GANG, team="t0"), 1)
+    for hand in hands[:3]:
+        mistaken.error_machines.add(hand.name)
+    board.add_job(job(2, tasks=8, gpus=1.0, priority=3, team="t1"), 1)
+    left = start_pass(board, NOW)
+    assert not any(run is mistaken for run, _ in left.left)
+    assert not any(m.promised for m in board.machines.values())
+    mistaken.error_machines.clear()
+    assert any(run is mistaken for run, _ in start_pass(board, NOW + seconds(5)).left)
+
+
+def start_pass(board: Board, now: datetime) -> Pass:
+    for machine in board.machines.values():
+        machine.shown, machine.heard = True, now
+    return plan(board, now)
+
+
 def test_limits_after_a_take_over_release_at_most_a_window_and_the_burst() -> None:
     board = new_board()
     hands = [Hand(board, f"i-{n}") for n in range(40)]
