--- a/roseweir/cli.py
+++ b/roseweir/cli.py
@@ -56,7 +56,9 @@
         ask = commands.add_parser(name, help=text)
         ask.add_argument("--at", required=True, metavar="HOST:PORT", help="a controller's own address (`back`)")
         ask.add_argument("--json", action="store_true", help="print the answer as it came")
-        ask.set_defaults(run=_ask, what=name)
+        ask.set_defaults(run=_ask, what=name, job=None)
+        if name == "status":
+            ask.add_argument("--job", metavar="ID", help="what an unfinished job waits for; ask the leader")
     return parser
 
 
@@ -102,8 +104,8 @@
         raise SettingsError(f"--at: `{args.at}` is not HOST:PORT")
 
     async def ask() -> Any:
-        reply = await Client(args.at, pool=0).request("GET", f"/{args.what}", patience=PATIENCE)
-        return reply.json()
+        path = f"/job/{args.job}" if args.job else f"/{args.what}"
+        return (await Client(args.at, pool=0).request("GET", path, patience=PATIENCE)).json()
 
     try:
         answer = asyncio.run(ask())
--- a/roseweir/cloud/client.py
+++ b/roseweir/cloud/client.py
@@ -1,5 +1,6 @@
 """Calls to the cloud, within its rate."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import TypeVar
 
@@ -28,8 +29,11 @@
         # The leader makes almost all calls; the rest is left to nodes that read the catalog.
         self._pace = Pace(settings.rps * 0.8, burst=2.0)
 
-    async def _call(self, method: str, path: str, body: object = None) -> object:
+    async def _call(self, method: str, path: str, body: object = None, may: Callable[[], bool] | None = None) -> object:
         await self._pace.take()
+        # A turn may be long in coming, and the node may have stood still: the right is looked at last.
+        if may is not None and not may():
+            raise Trouble("this node may not lead any more")
         reply = await self._send(method, path, body, patience=PATIENCE)
         if reply.status == 503 and b"no capacity" in reply.body:
             raise NoCapacity
@@ -41,12 +45,14 @@
         value = _read(await self._call("GET", "/catalog"), wire.Catalog)
         return [entry.to_type() for entry in value.types]
 
-    async def rent(self, request: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
+    async def rent(
+        self, request: str, type_name: str, zone: str, spot: bool, count: int, may: Callable[[], bool]
+    ) -> list[str]:
         body = wire.rental(request, type_name, zone, spot, min(count, RENT_MOST))
-        return _read(await self._call("POST", "/machines", body), wire.Rented).machines
+        return _read(await self._call("POST", "/machines", body, may), wire.Rented).machines
 
-    async def release(self, names: list[str]) -> None:
-        await self._call("POST", "/machines/release", wire.release(names[:RELEASE_MOST]))
+    async def release(self, names: list[str], may: Callable[[], bool]) -> None:
+        await self._call("POST", "/machines/release", wire.release(names[:RELEASE_MOST]), may)
 
     async def machines(self) -> list[wire.Listed]:
         found: list[wire.Listed] = []
--- a/roseweir/cloud/desk.py
+++ b/roseweir/cloud/desk.py
@@ -128,7 +128,7 @@
             for _ in range(RENT_TRIES):
                 asked = steady()
                 try:
-                    names = await self.cloud.rent(request, *offer, want.count)
+                    names = await self.cloud.rent(request, *offer, want.count, self._may_act)
                 except NoCapacity:
                     self.refused[offer] = steady() + REFUSED
                     return
@@ -174,7 +174,7 @@
         if not names:
             return
         try:
-            await self.cloud.release(names)
+            await self.cloud.release(names, self._may_act)
         except (Trouble, Unreachable, NoCapacity) as e:
             log.info("release failed: %s", e)
             return
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -116,7 +116,7 @@
         if run.first_wait == NEVER:
             run.first_wait = now
         claim = claimed.setdefault(spec.team, Usage())
-        allowed = min(wanted, _quota(board, spec, claim))
+        allowed = min(wanted, quota(board, spec, claim))
         if spec.kind == GANG and not run.placed and not run.mistaken:
             # A gang takes its part of the team's limit whole. Later jobs of the team leave it that part:
             # arrays took what came free one task at a time, and a gang within the guarantee never began.
@@ -183,7 +183,7 @@
     return reserves
 
 
-def _quota(board: Board, spec: JobSpec, claim: Usage) -> int:
+def quota(board: Board, spec: JobSpec, claim: Usage) -> int:
     """How many more tasks the team's limit allows; whatever may still be somewhere counts.
 
     `claim` is what earlier gangs of the team wait for.
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -14,6 +14,7 @@
 from roseweir.http import Connect, Request, Response, Transport, Unreachable, connect, json_response, serve
 from roseweir.leadership.leadership import Leadership, Term
 from roseweir.leadership.messages import TERM
+from roseweir.placement.explain import explain
 from roseweir.reign import Reign
 from roseweir.settings import Settings, Tuning
 from roseweir.state import Conflict, StateClient, Trouble
@@ -259,6 +260,8 @@
             return json_response(200 if await self._reaches_state() else 503, {})
         if path == "/status":
             return json_response(200, self.status())
+        if path.startswith("/job/"):
+            return self._job(path.removeprefix("/job/"))
         if path == "/progress":
             try:
                 jobs = msgspec.json.decode(request.body, type=list[str])
@@ -267,6 +270,19 @@
             return json_response(200, {job_id: self._count(job_id) for job_id in jobs})
         return json_response(404, {"error": "no such path"})
 
+    def _job(self, job_id: str) -> Response:
+        reign = self.reign
+        leader = self.leadership.leader
+        known = {"node": self.settings.name, "leader": None if leader is None else leader.name}
+        found = None if reign is None or not reign.open else explain(reign.board, job_id, steady())
+        if reign is None or found is None:
+            return json_response(404, known | {"error": f"this controller has no unfinished job {job_id}"})
+        return json_response(200, known | found | {"as_of_s": self._age(reign)})
+
+    def _age(self, reign: Reign) -> float:
+        """How old the leader's knowledge of submissions and cancels is."""
+        return round((steady() - reign.workers.news_at).total_seconds(), 1)
+
     def limits(self) -> dict[str, Any]:
         reign = self.reign
         leader = self.leadership.leader
@@ -292,6 +308,8 @@
                 "tasks_placed": sum(len(run.placed) for run in board.jobs.values()),
                 "machines": len(board.machines),
                 "machines_booting": sum(m.booting for m in board.machines.values()),
+                "machines_overdue": len(board.overdue(steady())),
+                "as_of_s": self._age(reign) if reign.open else None,
             }
         return answer
 
--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -39,9 +39,9 @@
 
 COME_BACK = timedelta(seconds=1)
 GUEST_BACK = timedelta(seconds=3)
-# The part of the state service's changes that jobs of teams without a guarantee may take, and how many
-# changes each takes: its acceptance and its end. So many seconds' worth may come at once.
-GUEST_SHARE, JOB_CHANGES, GUEST_BURST = 0.5, 3, 10.0
+# The part of the state service's changes that acceptances for teams without a guarantee may take; so many
+# seconds' worth may come at once. The ends of their jobs can wait for the records of starts.
+GUEST_SHARE, GUEST_BURST = 0.4, 10.0
 REMEMBERED = 20_000
 TRIES = 3
 
@@ -62,9 +62,8 @@
         self._ended: OrderedDict[str, str] = OrderedDict()
         # A flood of polls must leave the state service to renewals and records.
         self._reads = Pace(settings.params.state.rps * 0.25)
-        self._guests = Pace(
-            settings.params.state.write_rps * GUEST_SHARE / JOB_CHANGES / (len(settings.peers) + 1), GUEST_BURST
-        )
+        guests = settings.params.state.write_rps * GUEST_SHARE / (len(settings.peers) + 1)
+        self._guests = Pace(guests, GUEST_BURST)
 
     async def serve(self, request: Request) -> Response:
         try:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -84,7 +84,7 @@
 def no_quota(patch: pytest.MonkeyPatch) -> None:
     from roseweir.placement import plan
 
-    patch.setattr(plan, "_quota", lambda board, spec, claim: 1 << 30)
+    patch.setattr(plan, "quota", lambda board, spec, claim: 1 << 30)
 
 
 def no_zones(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,6 +10,7 @@
 from roseweir.cloud.plan import surplus, wanted
 from roseweir.limits.rules import renew_fetch_limits
 from roseweir.placement.board import Board
+from roseweir.placement.explain import explain
 from roseweir.placement.model import JobRun, Machine, Phase
 from roseweir.placement.plan import Pass, plan
 from roseweir.placement.record import Note, Pages
@@ -363,6 +364,24 @@
     assert any(run is mistaken for run, _ in start_pass(board, NOW + seconds(5)).left)
 
 
+def test_operators_are_told_what_a_job_waits_for() -> None:
+    board = new_board()
+    board.add_job(job(1, tasks=3), 1)
+    told = explain(board, "j-000001", NOW)
+    assert told is not None and told["tasks_waiting"] == 3
+    assert told["waits_for"] == "a machine that fits; 0 are booting"
+    hand = Hand(board, "i-1", "gpu")
+    hand.report(NOW)
+    board.add_job(job(2, tasks=20, gpus=1.0), 2)
+    hand.report(NOW)
+    start_pass(board, NOW)
+    waits = [(explain(board, f"j-00000{n}", NOW) or {})["waits_for"] for n in (1, 2)]
+    assert waits == [None, "room on the machines that fit"]
+    board.usage["t0"].gpus = 6.0
+    assert (explain(board, "j-000002", NOW) or {})["waits_for"] == "its team's limit"
+    assert explain(board, "j-000009", NOW) is None
+
+
 def start_pass(board: Board, now: datetime) -> Pass:
     for machine in board.machines.values():
         machine.shown, machine.heard = True, now
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -194,7 +194,7 @@
             wire = job(name_id=f"j-1{i:05d}", crew="guest", accelerators=0.0, parcels=1)
             return world.jobs.setdefault(wire["name_id"], wire)
 
-        statuses = [(await ask(world, "POST", "/submissions", guest(i)))[0] for i in range(300)]
+        statuses = [(await ask(world, "POST", "/submissions", guest(i)))[0] for i in range(600)]
         assert statuses[:20] == [201] * 20
         assert set(statuses) == {201, 429} and statuses.count(429) > 100
         assert (await ask(world, "POST", "/submissions", job()))[0] == 201
