--- a/roseweir/cli.py
+++ b/roseweir/cli.py
@@ -112,6 +112,9 @@
     except Unreachable as e:
         print(f"roseweir: no answer: {e}", file=sys.stderr)
         return 1
+    if "error" in answer and not args.json:
+        print(f"roseweir: {answer['error']}; the leader is {answer['leader'] or 'not known'}", file=sys.stderr)
+        return 1
     if args.json:
         import orjson
 
