--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -97,7 +97,7 @@
         self.work = asyncio.Event()
         self._failing = False
         self._tidied = NEVER
-        self.recorded = recorded  # rung after each commit: held reports look again
+        self.recorded = recorded  # rung for machines that orders may go to: held answers look again
 
     async def rebuild(self) -> int:
         """Read everything after the take-over. Earlier leaders' transactions fail from here on.
@@ -371,6 +371,7 @@
             return
         now = steady()
         self._failing = False
+        ready = {p.machine.name for p in batch.paged} | {p.machine.name for _, starts, _ in batch.notes for p in starts}
         for number in batch.pages:
             self.pages.written(number, revision)
         for placement in batch.paged:
@@ -388,7 +389,7 @@
                 run.noted.add(index)
         for run in batch.finished:
             board.end_job(run.spec.id, ended(run.spec, "done"), now)
-        self.recorded.ring()
+        self.recorded.ring(ready)
 
     def _recorded(self, placement: Placement) -> None:
         if placement.phase == Phase.PLANNED and placement.run.placed.get(placement.index) is placement:
@@ -430,4 +431,3 @@
         over = await self.state.get(OVER + job_id)
         if over is not None:
             self.board.end_job(job_id, read_ended(over.value), steady())
-            self.recorded.ring()
--- a/roseweir/workers/desk.py
+++ b/roseweir/workers/desk.py
@@ -85,7 +85,7 @@
                 return
             try:
                 async with asyncio.timeout((until - now).total_seconds()):
-                    await self.recorded.wait()
+                    await self.recorded.wait(machine.name)
             except TimeoutError:
                 pass
 
