--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -23,8 +23,8 @@
 
 # Passes are this far apart at least, so that planning takes a bounded part of the processor.
 PLAN_GAP = timedelta(milliseconds=60)
-# After a pass that took longer, planning rests for so many times as long.
-PLAN_REST = 2
+# After a pass that took longer, planning rests for so many times as long: it may take half of the time at most.
+PLAN_REST = 1
 # Without news the board is still looked at this often: leases run out, limits refill.
 PLAN_IDLE = timedelta(milliseconds=500)
 SLEPT = timedelta(seconds=1.5)
