--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -229,7 +229,7 @@
         planned = [p for p in board.planned if p.phase == Phase.PLANNED and p.run.placed.get(p.index) is p]
         completions: list[tuple[JobRun, int]] = []
         complete: list[JobRun] = []
-        for job_id in list(board.dirty_jobs):
+        for job_id in sorted(board.dirty_jobs):
             run = board.jobs.get(job_id)
             if run is None or run.over or not run.unsaved:
                 board.dirty_jobs.discard(job_id)
@@ -299,7 +299,7 @@
         most = min(most, int(spare - kept))
         if len(batch.ops) >= most or not (tidy or fullness > PRESSING):
             return
-        for name in board.dirty_machines:
+        for name in sorted(board.dirty_machines):
             self.pages.update(board, name)
         board.dirty_machines.clear()
         pages: dict[int, int] = dict.fromkeys(self.pages.dirty, 0) if tidy else {}
@@ -389,7 +389,7 @@
                 run.noted.add(index)
         for run in batch.finished:
             board.end_job(run.spec.id, ended(run.spec, "done"), now)
-        self.recorded.ring(ready)
+        self.recorded.ring(sorted(ready))
 
     def _recorded(self, placement: Placement) -> None:
         if placement.phase == Phase.PLANNED and placement.run.placed.get(placement.index) is placement:
--- a/roseweir/workers/desk.py
+++ b/roseweir/workers/desk.py
@@ -97,7 +97,7 @@
                 await pause(seconds(0.05))
                 if not board.urgent or not self.may_answer(steady()):
                     continue
-                for name in list(board.urgent):
+                for name in sorted(board.urgent):
                     machine = board.machines.get(name)
                     if machine is not None and machine.address and board.halts(machine):
                         group.create_task(self._halt(machine))
