Read once more: rental looks at the fleet once, one way to wait, one constant each, flat answers

- Rental went over the whole fleet again for each waiting job, since slow boots are told: once a round now, with a test that failed before.
Machines are counted only for offers that are open.
- clock.within serves four waits, answers() two questions, SLEPT, SEARCH and Team.guaranteed their users.
- Who is better placed to lead is a pure function; a check in plan that could not be true is gone.
Decisions are the same.

--- a/roseweir/cloud/desk.py
+++ b/roseweir/cloud/desk.py
@@ -11,7 +11,7 @@
 from roseweir.cloud.messages import BOOTING, FAILED, Listed
 from roseweir.cloud.plan import REFUSED, Offer, Want, surplus, wanted
 from roseweir.http import Unreachable
-from roseweir.placement.board import Board
+from roseweir.placement.board import SEARCH, Board
 from roseweir.placement.model import Machine
 from roseweir.placement.plan import Pass
 from roseweir.state import Trouble
@@ -39,7 +39,7 @@
 
     def hear_first(self) -> None:
         """This node stood still: whom it has not heard meanwhile need not be silent."""
-        self._hear_until = steady() + self.board.settings.params.workers.report * 2 + seconds(5)
+        self._hear_until = steady() + self.board.settings.params.workers.report * 2 + SEARCH
         self.board.talking_since.clear()
 
     async def run(self) -> None:
--- a/roseweir/cloud/plan.py
+++ b/roseweir/cloud/plan.py
@@ -11,7 +11,7 @@
 from math import ceil
 
 from roseweir.clock import NEVER, ZERO, seconds
-from roseweir.placement.board import Board
+from roseweir.placement.board import SEARCH, Board
 from roseweir.placement.model import JobRun, Machine
 from roseweir.placement.plan import Pass, most_at_once, suits
 from roseweir.settings import Objective
@@ -93,14 +93,16 @@
     """What to rent, and whether CPU-only work lacks machines that cannot be had."""
     exhausted = False
     wants: list[Want] = []
+    # Once for all: with hundreds of jobs waiting, each looked at the whole fleet again.
+    standing = list(_standing(board, now))
     for gpu_pool in (True, False):
         waiting = [(run, count) for run, count in left.left if (run.spec.gpus > 0) == gpu_pool and not run.over]
         if not waiting:
             continue
-        short = _shortage(board, gpu_pool, wall_ms, now)
+        short = _shortage(board, standing, gpu_pool, wall_ms, now)
         for run, count in waiting:
             spec = run.spec
-            if not any(suits(spec, m) and spec.fits(m.type) for m in _standing(board, now)):
+            if not any(suits(spec, m) and spec.fits(m.type) for m in standing):
                 short = max(short, units(spec))
             if short <= 1e-6:
                 continue
@@ -144,14 +146,14 @@
         yield machine
 
 
-def _shortage(board: Board, gpu_pool: bool, wall_ms: int, now: datetime) -> float:
+def _shortage(board: Board, standing: list[Machine], gpu_pool: bool, wall_ms: int, now: datetime) -> float:
     """Units that should be rented now: work in sight by the time that its aims leave, less what stands.
 
     Of what gets done while a machine boots, half is taken off, since work arrives meanwhile too: with all
     of it off, bursts were rented for too late, with none, one GPU machine in five was never used. Tasks
     that wait for their team's limit need no machine.
     """
-    have = sum(capacity(m.type, gpu_pool, board.gpu_cpus) for m in _standing(board, now))
+    have = sum(capacity(m.type, gpu_pool, board.gpu_cpus) for m in standing)
     boots = [t.boot for t in board.catalog.values() if (t.gpus > 0) == gpu_pool]
     boot = min(boots, default=ZERO)
     work = need = 0.0
@@ -178,7 +180,8 @@
     board: Board, spec: JobSpec, asked: float, refused: dict[Offer, datetime], wants: list[Want], now: datetime
 ) -> float:
     """Add rentals for a job's missing units, the cheapest offer for a task first."""
-    offers: list[tuple[float, int, str, Offer, MachineType]] = []
+    offers: list[tuple[float, int, str, Offer, int]] = []
+    taken = {(w.type_name, w.zone, w.spot) for w in wants}
     for kind in board.catalog.values():
         if not spec.fits(kind):
             continue
@@ -188,21 +191,23 @@
         for zone in kind.zones:
             if spec.zone is not None and zone != spec.zone:
                 continue
+            spots = [
+                spot
+                for spot in ((True, False) if spec.spot else (False,))
+                if refused.get((kind.name, zone, spot), NEVER) <= now and (kind.name, zone, spot) not in taken
+            ]
+            if not spots:
+                continue
             here = sum(1 for m in board.machines.values() if m.zone == zone and m.type is kind)
-            for spot in (True, False) if spec.spot else (False,):
-                offer = (kind.name, zone, spot)
-                if refused.get(offer, NEVER) > now or any(
-                    w.type_name == kind.name and w.zone == zone and w.spot == spot for w in wants
-                ):
-                    continue
+            for spot in spots:
                 price = kind.spot_price if spot else kind.price
-                offers.append((price / slots, here, zone, offer, kind))
+                offers.append((price / slots, here, zone, (kind.name, zone, spot), slots))
     offers.sort(key=lambda o: o[:3])
     got = 0.0
-    for _, _, _, offer, kind in offers:
+    for _, _, _, offer, slots in offers:
         if got >= asked - 1e-6:
             break
-        each = max(units(spec) * Machine("", kind, "", False).room(spec, board.gpu_cpus), 1e-3)
+        each = max(units(spec) * slots, 1e-3)
         count = min(MOST_AT_ONCE, ceil((asked - got) / each - 1e-6))
         wants.append(Want(*offer, count))
         got += count * each
@@ -247,8 +252,7 @@
     """Machines to give back, and why."""
     found: list[tuple[Machine, str]] = []
     workers = board.settings.params.workers
-    # A worker gives up on an answer after 4 s and tries the next node a second later.
-    patience = min(workers.report * 2 + seconds(5), board.lease)
+    patience = min(workers.report * 2 + SEARCH, board.lease)
     quiet: dict[str, list[bool]] = {}
     for machine in board.machines.values():
         if not machine.booting:
--- a/roseweir/leadership/leadership.py
+++ b/roseweir/leadership/leadership.py
@@ -189,23 +189,24 @@
             own, _ = await self._probe(workers)
             for _ in range(ASK_LOOKS):
                 await pause(ASK_LOOK)
-                entries, _ = await self.state.scan(REACH)
-                for entry in entries:
-                    name, found = entry.key.removeprefix(REACH), msgspec.convert(entry.value, Reach)
-                    if (found.term, found.number) != (ask.term, ask.number) or name == self.settings.name:
-                        continue
-                    better = set(found.came)
-                    if len(own) * ENOUGH <= len(workers):
-                        better |= set(found.reached)
-                    if len(better & missing()) * ENOUGH > len(workers):
-                        await self._resign(term, f"{name} reaches workers that this node does not hear")
-                        return
+                answers = await self._answers(ask)
+                better = _better_placed(answers, ask, len(own), missing())
+                if better is not None:
+                    await self._resign(term, f"{better} reaches workers that this node does not hear")
+                    return
         except (Trouble, Unreachable, Conflict, Expired, msgspec.ValidationError) as e:
             log.debug("asking about workers: %s", e)
         else:
             log.info("most workers have not reported, and no other controller reaches them better")
         await pause(ASK_GAP)
 
+    async def _answers(self, ask: Ask) -> dict[str, Reach]:
+        """What the other nodes have answered by now."""
+        entries, _ = await self.state.scan(REACH)
+        found = {entry.key.removeprefix(REACH): msgspec.convert(entry.value, Reach) for entry in entries}
+        found.pop(self.settings.name, None)
+        return {name: r for name, r in found.items() if (r.term, r.number) == (ask.term, ask.number)}
+
     async def _resign(self, term: Term, reason: str) -> None:
         self._stand_back()
         # Nothing goes out under this term any more before others may take the key.
@@ -301,3 +302,14 @@
             name, number = found
             self._successor = LeaderRecord(name, "", number, 0)
             term.end(f"{name} leads with term {number}")
+
+
+def _better_placed(answers: dict[str, Reach], ask: Ask, own: int, missing: set[str]) -> str | None:
+    """A node that reaches enough of the workers asked about, of which the leader itself reached so many."""
+    for name, answer in answers.items():
+        better = set(answer.came)
+        if own * ENOUGH <= len(ask.workers):
+            better |= set(answer.reached)
+        if len(better & missing) * ENOUGH > len(ask.workers):
+            return name
+    return None
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -33,8 +33,9 @@
 SLOW_JOBS, SLOW_FACTOR, SLOW_TASKS, SLOW_PEERS = 2, 2.0, 3, 4
 # Boots that tell how long the next ones may take: so many, and for how long.
 BOOTS_KEPT, BOOTS_FOR = 20, timedelta(minutes=3)
-# By how much a worker's report may be later than two of its intervals.
-ON_TIME, FIRST_TIME = timedelta(seconds=0.75), timedelta(seconds=5)
+# By how much a worker's report may be later than two of its intervals: one that is with this leader, and one in
+# search of it, which gives up on an answer after 4 s and tries the next node a second later.
+ON_TIME, SEARCH = timedelta(seconds=0.75), timedelta(seconds=5)
 # An estimate says little about a task that has only just begun.
 RATIO_WEIGHT = 0.2
 
@@ -579,14 +580,10 @@
         return [taken for at, taken in self.boots.get(kind.name, ()) if now - at < BOOTS_FOR]
 
     def overdue(self, now: datetime) -> list[Machine]:
-        """Machines whose reports should have come, if these are most of all; else none.
-
-        A worker that does not get through gives up after 4 s and tries the next node a second later, so
-        one that has not reported to this leader yet gets that much longer.
-        """
+        """Machines whose reports should have come, if these are most of all; else none."""
         up = [m for m in self.machines.values() if not m.booting and m.recall_at is None]
         report = self.settings.params.workers.report
-        late = [m for m in up if self.silent(m, now) > report * 2 + (ON_TIME if m.shown else FIRST_TIME)]
+        late = [m for m in up if self.silent(m, now) > report * 2 + (ON_TIME if m.shown else SEARCH)]
         return late if len(late) * 2 > len(up) else []
 
     def silent(self, machine: Machine, now: datetime) -> timedelta:
--- a/roseweir/placement/explain.py
+++ b/roseweir/placement/explain.py
@@ -5,7 +5,7 @@
 
 from roseweir.clock import NEVER
 from roseweir.placement.board import Board, Usage
-from roseweir.placement.model import Phase
+from roseweir.placement.model import JobRun, Phase
 from roseweir.placement.plan import quota, source_of, suits
 
 
@@ -22,13 +22,12 @@
         "tasks_being_recorded": sum(phase == Phase.PLANNED for phase in phases),
         "tasks_on_machines": sum(phase > Phase.READY for phase in phases),
         "failures": run.failures,
-        "waits_for": _waits_for(board, job_id, now),
+        "waits_for": _waits_for(board, run, now),
         "waits_for_s": None if run.first_wait == NEVER else round((now - run.first_wait).total_seconds(), 1),
     }
 
 
-def _waits_for(board: Board, job_id: str, now: datetime) -> str | None:
-    run = board.jobs[job_id]
+def _waits_for(board: Board, run: JobRun, now: datetime) -> str | None:
     spec = run.spec
     if run.over:
         return f"nothing, it is {run.over}; its tasks leave"
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -69,7 +69,7 @@
             sums.gpus += spec.gpus * counted
         # A guarantee of 0 means that there is none for this resource.
         run.covered = (
-            (team.gpus > 0 or team.cpus > 0)
+            team.guaranteed
             and (team.gpus <= 0 or sums.gpus <= team.gpus + 1e-9)
             and (team.cpus <= 0 or sums.cpus <= team.cpus + 1e-9)
             and (spec.gpus > 0 or team.cpus > 0)
@@ -129,8 +129,7 @@
             continue
         shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot, tuple(spec.types or ("*",)))
         if shape in full and not run.error_machines:
-            if not run.mistaken:
-                result.left.append((run, allowed))
+            result.left.append((run, allowed))
             continue
         candidates = _candidates(board, run, roomy[spec.gpus > 0], reserved, unwanted, reserves, now)
         if spec.kind == GANG:
--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from roseweir.bell import Bell
-from roseweir.clock import NEVER, pause, seconds, steady
+from roseweir.clock import NEVER, pause, seconds, steady, within
 from roseweir.http import Unreachable
 from roseweir.leadership.messages import LEADER
 from roseweir.placement.board import Board
@@ -207,11 +207,7 @@
         board = self.board
         gap = seconds(BATCH_CHANGES / self.state.write_rate)
         while True:
-            try:
-                async with asyncio.timeout(TIDY.total_seconds()):
-                    await self.work.wait()
-            except TimeoutError:
-                pass
+            await within(TIDY, self.work.wait())
             self.work.clear()
             spare = await self.state.writes_turn(KEPT)
             batch = self._batch(spare)
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from roseweir.bell import Bell
-from roseweir.clock import NEVER, pause, seconds, steady
+from roseweir.clock import NEVER, SLEPT, pause, seconds, steady, within
 from roseweir.cloud.client import CloudClient
 from roseweir.cloud.desk import CloudDesk
 from roseweir.http import Connect, Unreachable
@@ -28,7 +28,6 @@
 PLAN_REST = 1
 # Without news the board is still looked at this often: leases run out, limits refill.
 PLAN_IDLE = timedelta(milliseconds=500)
-SLEPT = timedelta(seconds=1.5)
 REPORT = timedelta(seconds=15)
 NEWS = timedelta(seconds=1)
 RETRY = timedelta(milliseconds=250)
@@ -129,11 +128,7 @@
         board = self.board
         last, looked = NEVER, steady()
         while True:
-            try:
-                async with asyncio.timeout(PLAN_IDLE.total_seconds()):
-                    await self.work.wait()
-            except TimeoutError:
-                pass
+            await within(PLAN_IDLE, self.work.wait())
             self.work.clear()
             now = steady()
             if now - looked > PLAN_IDLE + SLEPT:
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -3,13 +3,13 @@
 import asyncio
 import gc
 import logging
-from datetime import datetime
+from datetime import datetime, timedelta
 from math import ceil
 from typing import Any
 
 import msgspec
 
-from roseweir.clock import NEVER, pause, seconds, steady
+from roseweir.clock import NEVER, SLEPT, pause, seconds, steady
 from roseweir.cloud.client import CloudClient, NoCapacity
 from roseweir.http import Connect, Request, Response, Transport, Unreachable, connect, json_response, serve
 from roseweir.leadership.leadership import Leadership, Term
@@ -31,8 +31,6 @@
 BACK_CONNECTIONS = 32
 CHECK = seconds(0.5)
 PROBE_PATIENCE = seconds(0.4)
-# A wait that took so much longer than it should tells that this node stood still meanwhile.
-SLEPT = seconds(1.5)
 # How many workers are asked about, and how many checks in a row must find most of them overdue.
 ASKED, CHECKS = 16, 2
 LOOK = seconds(0.25)
@@ -129,13 +127,7 @@
         return True
 
     async def _a_peer_reaches_state(self) -> bool:
-        async def ask(peer: Transport) -> bool:
-            try:
-                return (await peer("GET", "/reach", patience=PROBE_PATIENCE * 2)).status == 200
-            except Unreachable:
-                return False
-
-        return any(await asyncio.gather(*(ask(peer) for peer in self._peers.values())))
+        return any(await asyncio.gather(*(answers(p, "/reach", PROBE_PATIENCE * 2) for p in self._peers.values())))
 
     # -- the workers --------------------------------------------------------------------------
 
@@ -171,18 +163,12 @@
         return {m.name: m.address for m in reign.board.overdue(steady())} if reign is not None and reign.open else {}
 
     async def _probe_workers(self, workers: dict[str, str]) -> tuple[list[str], list[str]]:
-        async def ask(address: str) -> bool:
-            if not address:
-                return False
-            try:
-                return (await self._connect(address, 0)("GET", "/status", patience=PROBE_PATIENCE)).status == 200
-            except Unreachable:
-                return False
-
-        answers = await asyncio.gather(*(ask(address) for address in workers.values()))
+        known = {name: address for name, address in workers.items() if address}
+        asked = (answers(self._connect(address, 0), "/status", PROBE_PATIENCE) for address in known.values())
+        reached = await asyncio.gather(*asked)
         now = steady()
         came = [name for name in workers if SENT_ON <= now - self._came.get(name, NEVER) <= CAME]
-        return [name for name, reached in zip(workers, answers, strict=True) if reached], came
+        return [name for name, there in zip(known, reached, strict=True) if there], came
 
     def _note_caller(self, request: Request) -> None:
         """A worker that reports to a node that does not lead is in search of one that does."""
@@ -336,6 +322,13 @@
             return {}
 
 
+async def answers(send: Transport, path: str, patience: timedelta) -> bool:
+    try:
+        return (await send("GET", path, patience=patience)).status == 200
+    except Unreachable:
+        return False
+
+
 def split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/roseweir/settings.py
+++ b/roseweir/settings.py
@@ -40,6 +40,10 @@
     gpus: NotNegative = 0.0
     gpus_max: NotNegative = 0.0
 
+    @property
+    def guaranteed(self) -> bool:
+        return self.cpus > 0 or self.gpus > 0
+
 
 class Objective(msgspec.Struct, rename={"job_class": "class"}):
     kind: str
--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -106,8 +106,7 @@
             return await self._known(job_id) or json_response(
                 status, {"error": error}, COME_BACK if status == 503 else None
             )
-        team = self.teams[spec.team]
-        if team.cpus <= 0 and team.gpus <= 0 and not self._guests.spend():
+        if not self.teams[spec.team].guaranteed and not self._guests.spend():
             # A guest's swarm must leave the records of everybody's starts and ends their changes.
             return await self._known(job_id) or json_response(
                 429, {"error": "more jobs than this team may submit at once"}, GUEST_BACK
--- a/roseweir/submissions/view.py
+++ b/roseweir/submissions/view.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
-from roseweir.clock import pause, seconds, steady
+from roseweir.clock import pause, seconds, steady, within
 from roseweir.http import Unreachable
 from roseweir.state import StateClient, Trouble
 from roseweir.submissions.jobs import LIVE
@@ -45,11 +45,7 @@
 
     async def run(self) -> None:
         while True:
-            try:
-                async with asyncio.timeout(IDLE.total_seconds()):
-                    await self._some.wait()
-            except TimeoutError:
-                pass
+            await within(IDLE, self._some.wait())
             self._some.clear()
             waiting, self._waiting = self._waiting, []
             sent = steady()
--- a/roseweir/workers/desk.py
+++ b/roseweir/workers/desk.py
@@ -8,7 +8,7 @@
 import orjson
 
 from roseweir.bell import Bell
-from roseweir.clock import NEVER, pause, seconds, steady
+from roseweir.clock import NEVER, pause, seconds, steady, within
 from roseweir.http import Connect, Request, Response, Unreachable, json_response
 from roseweir.leadership.leadership import Term
 from roseweir.placement.board import Board
@@ -83,11 +83,7 @@
                 return
             if now >= until or not self.term.may_run():
                 return
-            try:
-                async with asyncio.timeout((until - now).total_seconds()):
-                    await self.recorded.wait(machine.name)
-            except TimeoutError:
-                pass
+            await within(until - now, self.recorded.wait(machine.name))
 
     async def direct(self) -> None:
         """Halts that mates of a gang must hear together go out at once."""
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,6 +1,8 @@
 """What a large fleet costs, counted in changes of the state service, never by the clock."""
 
 import asyncio
+from collections.abc import Iterable
+from datetime import datetime
 from typing import Any, cast
 
 import orjson
@@ -8,10 +10,11 @@
 
 from roseweir.bell import Bell
 from roseweir.clock import seconds
+from roseweir.cloud import plan as cloud_plan
 from roseweir.placement import plan as plan_module
 from roseweir.placement.board import Board
-from roseweir.placement.model import Phase
-from roseweir.placement.plan import plan
+from roseweir.placement.model import Machine, Phase
+from roseweir.placement.plan import Pass, plan
 from roseweir.placement.record import NOTES
 from roseweir.placement.recorder import Batch, Recorder
 from roseweir.state import StateClient
@@ -151,6 +154,23 @@
     assert not board.planned
 
 
+def test_rental_looks_at_the_fleet_once_however_many_jobs_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each waiting job looked again which machines stand, and what boots took."""
+    board, _ = fleet(50)
+    left = Pass(left=[(board.add_job(job(number), 1), 1) for number in range(100)])
+    looks = 0
+    standing = cloud_plan._standing
+
+    def counted(board: Board, now: datetime) -> Iterable[Machine]:
+        nonlocal looks
+        looks += 1
+        return standing(board, now)
+
+    monkeypatch.setattr(cloud_plan, "_standing", counted)
+    cloud_plan.wanted(board, left, {}, 0, NOW)
+    assert looks == 1
+
+
 def test_passes_over_a_swarm_look_at_machines_with_room_only(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each of 500 one-task jobs looked at every one of 700 machines, though almost all were full."""
     board, hands = fleet(200)
