A gang's replacements give back no claim: an array could go over its team's limit

Found on reading: a gathering gang's replacement took nothing of the limit in advance, but gave its part back when it was placed, so a later job of the team in the same pass got that much too many (8 of 6 GPUs in the test, which failed before).

--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -117,7 +117,8 @@
             run.first_wait = now
         claim = claimed.setdefault(spec.team, Usage())
         allowed = min(wanted, quota(board, spec, claim))
-        if spec.kind == GANG and not run.placed and not run.mistaken:
+        claims = spec.kind == GANG and not run.placed and not run.mistaken
+        if claims:
             # A gang takes its part of the team's limit whole. Later jobs of the team leave it that part:
             # arrays took what came free one task at a time, and a gang within the guarantee never began.
             claim.cpus += spec.cpus * wanted
@@ -139,7 +140,9 @@
         result.placed += placed
         if placed:
             run.first_wait = NEVER
-            if spec.kind == GANG and not run.mistaken:
+            if claims:
+                # What it claimed, it uses now. Replacements claim nothing: giving back for them let an
+                # array go over the team's limit.
                 claim.cpus -= spec.cpus * placed
                 claim.gpus -= spec.gpus * placed
         if placed < allowed and not run.mistaken:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -154,6 +154,23 @@
     assert not board.planned
 
 
+def test_replacements_in_a_gang_leave_later_jobs_no_more_than_the_teams_limit() -> None:
+    """They gave back a part of the limit that they had not claimed, and an array went over it."""
+    board, hands = fleet(80)
+    for hand in hands:
+        hand.report(NOW)
+    gang = board.add_job(job(1, tasks=4, gpus=1.0, kind=GANG), 1)
+    plan(board, NOW)
+    assert len(gang.placed) == 4
+    for index in (0, 1):
+        board.remove(gang.placed[index], NOW)
+    array = board.add_job(job(2, tasks=8, gpus=1.0), 1)
+    plan(board, NOW)
+    assert len(gang.placed) == 4
+    assert board.usage["t0"].gpus <= board.teams["t0"].gpus_max
+    assert len(array.placed) == 2
+
+
 def test_rental_looks_at_the_fleet_once_however_many_jobs_wait(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each waiting job looked again which machines stand, and what boots took."""
     board, _ = fleet(50)
