Renting ahead of demand: history, forecast, plan and replay (off by default)

Need: bursts come at known hours, and a machine takes a boot time and a fetch; rental only reacted. Change: package roseweir/forecast counts accepted work in slots, kept by the leader in a ring of bounded keys; the same local hours of past weeks give a quantile per pool; what is missing joins rental in one place, and machines held ready are not given back as idle. Off unless the operators' file has a renting-ahead form, and then nothing of it is loaded. Tools: forecast show, draw, compare.

--- a/roseweir/cli.py
+++ b/roseweir/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `roseweir serve`, `check-config`, `limits`, `status`."""
+"""The command line: `roseweir serve`, `check-config`, `limits`, `status`, `forecast`."""
 
 import argparse
 import asyncio
@@ -11,6 +11,7 @@
 from typing import Any
 
 from roseweir import __version__
+from roseweir.forecast import cli as forecast
 from roseweir.settings import Settings, SettingsError, Tuning, load_settings, load_tuning
 
 PATIENCE = timedelta(seconds=3)
@@ -52,13 +53,17 @@
     check = commands.add_parser("check-config", help="check settings files and say what is wrong")
     files(check)
     check.set_defaults(run=_check)
-    for name, text in (("limits", "show the startup limits in force"), ("status", "show what a controller knows")):
-        ask = commands.add_parser(name, help=text)
+
+    def question(ask: argparse.ArgumentParser, what: str) -> None:
         ask.add_argument("--at", required=True, metavar="HOST:PORT", help="a controller's own address (`back`)")
         ask.add_argument("--json", action="store_true", help="print the answer as it came")
-        ask.set_defaults(run=_ask, what=name, job=None)
-        if name == "status":
-            ask.add_argument("--job", metavar="ID", help="what an unfinished job waits for; ask the leader")
+        ask.set_defaults(run=_ask, what=what, job=None)
+
+    question(commands.add_parser("limits", help="show the startup limits in force"), "limits")
+    status = commands.add_parser("status", help="show what a controller knows")
+    question(status, "status")
+    status.add_argument("--job", metavar="ID", help="what an unfinished job waits for; ask the leader")
+    forecast.add_commands(commands, lambda ask: question(ask, "forecast"))
     return parser
 
 
@@ -121,9 +126,15 @@
         print(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
     elif args.what == "limits":
         _print_limits(answer)
+    elif args.what == "forecast":
+        forecast.print_forecast(answer)
     else:
         for name, value in answer.items():
-            print(f"{name.replace('_', ' '):18} {'-' if value is None else value}")
+            if isinstance(value, list):
+                for line in value:
+                    print(f"{name.replace('_', ' '):18} {line}")
+            else:
+                print(f"{name.replace('_', ' '):18} {'-' if value is None else value}")
     return 0
 
 
--- a/roseweir/cloud/desk.py
+++ b/roseweir/cloud/desk.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from datetime import datetime, timedelta
 
 from roseweir import clock
@@ -25,11 +25,18 @@
 SPILL = timedelta(seconds=30)
 
 
+# What else to rent beside these wants, and which machines to keep ready: names and why.
+PlanAhead = Callable[[list[Want], dict[Offer, datetime], datetime], tuple[list[Want], dict[str, str]]]
+
+
 class CloudDesk:
-    def __init__(self, cloud: CloudClient, board: Board, may_act: Callable[[], bool]) -> None:
+    def __init__(
+        self, cloud: CloudClient, board: Board, may_act: Callable[[], bool], ahead: PlanAhead | None = None
+    ) -> None:
         self.cloud = cloud
         self.board = board
         self._may_act = may_act  # another may lead otherwise, and machines that left us report to it
+        self._ahead = ahead
         self.last_pass = Pass()
         self.refused: dict[Offer, datetime] = {}
         self._requests = 0
@@ -112,12 +119,16 @@
             wants, exhausted = wanted(self.board, self.last_pass, self.refused, wall_ms, now)
             if exhausted:
                 self.board.spill_until = now + SPILL
+            kept: dict[str, str] = {}
+            if self._ahead is not None:
+                more, kept = self._ahead(wants, self.refused, now)
+                wants += more
             for want in wants:
                 offer = (want.type_name, want.zone, want.spot)
                 if offer not in self._renting and len(self._renting) < 6:
                     self._renting.add(offer)
                     group.create_task(self._rent(want, offer))
-            await self._release(now)
+            await self._release(now, kept)
             await pause(DECIDE)
 
     async def _rent(self, want: Want, offer: Offer) -> None:
@@ -141,7 +152,8 @@
                 if len(names) < want.count:
                     self.refused[offer] = steady() + REFUSED
                 self.board.obtained.add(offer)
-                log.info("rented %d of %d %s in %s%s", len(names), want.count, *offer[:2], " (spot)" * offer[2])
+                kind = " (spot)" * offer[2] + " ahead of demand" * want.ahead
+                log.info("rented %d of %d %s in %s%s", len(names), want.count, *offer[:2], kind)
                 for name in names:
                     self._expect(name, offer, asked)
                 return
@@ -159,8 +171,8 @@
             machine.rented_at = asked
             machine.rented = True
 
-    async def _release(self, now: datetime) -> None:
-        chosen = surplus(self.board, self.last_pass, now)[:RELEASE_MOST]
+    async def _release(self, now: datetime, kept: Container[str]) -> None:
+        chosen = surplus(self.board, self.last_pass, now, kept)[:RELEASE_MOST]
         if not chosen:
             return
         for machine, why in chosen:
--- a/roseweir/cloud/plan.py
+++ b/roseweir/cloud/plan.py
@@ -5,7 +5,7 @@
 the pool should have. What it lacks is rented where a task costs least.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from math import ceil
@@ -44,6 +44,7 @@
     zone: str
     spot: bool
     count: int
+    ahead: bool = False  # of demand that is only expected
 
 
 def units(spec: JobSpec) -> float:
@@ -94,20 +95,20 @@
     exhausted = False
     wants: list[Want] = []
     # Once for all: with hundreds of jobs waiting, each looked at the whole fleet again.
-    standing = list(_standing(board, now))
+    there = list(standing(board, now))
     for gpu_pool in (True, False):
         waiting = [(run, count) for run, count in left.left if (run.spec.gpus > 0) == gpu_pool and not run.over]
         if not waiting:
             continue
-        short = _shortage(board, standing, gpu_pool, wall_ms, now)
+        short = _shortage(board, there, gpu_pool, wall_ms, now)
         for run, count in waiting:
             spec = run.spec
-            if not any(suits(spec, m) and spec.fits(m.type) for m in standing):
+            if not any(suits(spec, m) and spec.fits(m.type) for m in there):
                 short = max(short, units(spec))
             if short <= 1e-6:
                 continue
             asked = min(short, count * max(units(spec), 1e-3))
-            got = _choose(board, spec, asked, refused, wants, now)
+            got = choose(board, spec, asked, refused, wants, now)
             short -= got
             exhausted = exhausted or (not gpu_pool and got < asked - 1e-6)
     return wants, exhausted
@@ -133,7 +134,7 @@
     return found
 
 
-def _standing(board: Board, now: datetime) -> Iterable[Machine]:
+def standing(board: Board, now: datetime) -> Iterable[Machine]:
     """Machines that run, or should be up in time."""
     slowness = _slowness(board, now)
     for machine in board.machines.values():
@@ -146,14 +147,14 @@
         yield machine
 
 
-def _shortage(board: Board, standing: list[Machine], gpu_pool: bool, wall_ms: int, now: datetime) -> float:
+def _shortage(board: Board, there: list[Machine], gpu_pool: bool, wall_ms: int, now: datetime) -> float:
     """Units that should be rented now: work in sight by the time that its aims leave, less what stands.
 
     Of what gets done while a machine boots, half is taken off, since work arrives meanwhile too: with all
     of it off, bursts were rented for too late, with none, one GPU machine in five was never used. Tasks
     that wait for their team's limit need no machine.
     """
-    have = sum(capacity(m.type, gpu_pool, board.gpu_cpus) for m in standing)
+    have = sum(capacity(m.type, gpu_pool, board.gpu_cpus) for m in there)
     boots = [t.boot for t in board.catalog.values() if (t.gpus > 0) == gpu_pool]
     boot = min(boots, default=ZERO)
     work = need = 0.0
@@ -176,7 +177,7 @@
     return need - have
 
 
-def _choose(
+def choose(
     board: Board, spec: JobSpec, asked: float, refused: dict[Offer, datetime], wants: list[Want], now: datetime
 ) -> float:
     """Add rentals for a job's missing units, the cheapest offer for a task first."""
@@ -248,8 +249,8 @@
     )
 
 
-def surplus(board: Board, left: Pass, now: datetime) -> list[tuple[Machine, str]]:
-    """Machines to give back, and why."""
+def surplus(board: Board, left: Pass, now: datetime, kept: Container[str] = frozenset()) -> list[tuple[Machine, str]]:
+    """Machines to give back, and why. Those `kept` ready for expected work do not go for being idle."""
     found: list[tuple[Machine, str]] = []
     workers = board.settings.params.workers
     patience = min(workers.report * 2 + SEARCH, board.lease)
@@ -279,6 +280,8 @@
             # Once the release is answered, everything on the machine is proven gone. That is sooner
             # than its lease, and much sooner than the leases that an earlier leader may have renewed.
             found.append((machine, "silent"))
+        elif machine.name in kept:
+            continue
         elif _gpus_idle(board, machine, waiting, keep, now):
             found.append((machine, "GPUs idle"))
         elif machine.placements or machine.idle_since == NEVER or machine.recall_at is not None:
--- /dev/null
+++ b/roseweir/forecast/tools/load.py
@@ -0,0 +1,63 @@
+"""Recorded load: JSON Lines of submissions with the time that each was sent."""
+
+from collections.abc import Iterator
+from datetime import datetime
+from importlib.resources import files
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import fastjsonschema
+import msgspec
+import orjson
+
+from roseweir.settings import SettingsError
+from roseweir.submissions.jobs import JobSpec
+from roseweir.submissions.messages import Submission
+
+
+class Arrival(NamedTuple):
+    at: float  # seconds since 1970
+    spec: JobSpec
+
+
+def schema() -> Any:
+    return orjson.loads(files(__package__).joinpath("load.schema.json").read_bytes())
+
+
+def read_load(path: Path) -> list[Arrival]:
+    """All arrivals in order of time; SettingsError names the first bad line.
+
+    The same job id twice is a user's retry and counts once, at its first time.
+    """
+    arrivals: dict[str, Arrival] = {}
+    try:
+        with path.open("rb") as file:
+            for arrival in _lines(path, file):
+                known = arrivals.get(arrival.spec.id)
+                if known is None or arrival.at < known.at:
+                    arrivals[arrival.spec.id] = arrival
+    except OSError as e:
+        raise SettingsError(f"{path}: {e.strerror or e}") from e
+    if not arrivals:
+        raise SettingsError(f"{path}: no submissions in it")
+    return sorted(arrivals.values(), key=lambda a: (a.at, a.spec.id))
+
+
+def _lines(path: Path, file: Any) -> Iterator[Arrival]:
+    check = fastjsonschema.compile(schema())
+    for number, line in enumerate(file, 1):
+        if not line.strip():
+            continue
+        try:
+            value = orjson.loads(line)
+        except orjson.JSONDecodeError as e:
+            raise SettingsError(f"{path}: line {number}: not JSON: {e}") from e
+        try:
+            check(value)
+        except fastjsonschema.JsonSchemaValueException as e:
+            raise SettingsError(f"{path}: line {number}: {e.message.removeprefix('data.')[:200]}") from e
+        try:
+            at = datetime.fromisoformat(value["at"]).timestamp()
+        except ValueError as e:
+            raise SettingsError(f"{path}: line {number}: at: {e}") from e
+        yield Arrival(at, msgspec.convert(value, Submission).to_spec(round(at * 1000)))
--- /dev/null
+++ b/roseweir/forecast/tools/report.py
@@ -0,0 +1,92 @@
+"""The HTML report of a comparison: one file, with its plots inside."""
+
+from datetime import UTC, datetime
+from importlib.resources import files
+from io import StringIO
+from pathlib import Path
+from typing import Any
+from zoneinfo import ZoneInfo
+
+import jinja2
+import markupsafe
+import matplotlib
+from matplotlib.figure import Figure
+from matplotlib.ticker import FuncFormatter
+
+from roseweir.forecast.tools.compare import Burst, Result
+
+matplotlib.rcParams["svg.hashsalt"] = "roseweir"  # the same figures make the same file
+COLOURS = {"none": "#9a3b3b", "reserve": "#8a7a2f", "ahead": "#2f6f8a", "best": "#5a8a4a"}
+
+
+def write_report(path: Path, results: list[Result], bursts: list[Burst], zone: ZoneInfo, title: str) -> None:
+    environment = jinja2.Environment(autoescape=True, undefined=jinja2.StrictUndefined, trim_blocks=True)
+    template = environment.from_string(files(__package__).joinpath("report.html.j2").read_text())
+    page = template.render(
+        title=title,
+        results=results,
+        bursts=bursts,
+        zone=zone.key,
+        demand=_svg(_demand(results, zone)),
+        waits=_svg(_waits(results)),
+        by_burst=_svg(_by_burst(results, bursts)),
+    )
+    path.write_text(page)
+
+
+def _svg(figure: Figure) -> Any:
+    out = StringIO()
+    figure.savefig(out, format="svg", metadata={"Date": None}, bbox_inches="tight")
+    text = out.getvalue()
+    return markupsafe.Markup(text[text.index("<svg") :])
+
+
+def _demand(results: list[Result], zone: ZoneInfo) -> Figure:
+    """CPUs offered, standing and held, policy by policy."""
+    figure = Figure(figsize=(11, 2.1 * len(results)))
+    axes = figure.subplots(len(results), 1, sharex=True, squeeze=False)
+    for row, result in zip(axes[:, 0], results, strict=True):
+        times = [datetime.fromtimestamp(at, UTC).astimezone(zone) for at, *_ in result.outcome.course]
+        offered, standing, held = ([point[n] for point in result.outcome.course] for n in (1, 2, 3))
+        row.fill_between(times, offered, color="#c9c9c9", label="asked for at once", step="post")
+        row.plot(times, standing, color=COLOURS[result.policy], linewidth=0.9, label="standing", drawstyle="steps-post")
+        if any(held):
+            row.plot(times, held, color="#444444", linewidth=0.6, linestyle=":", label="to stand ready")
+        row.set_ylabel("CPUs")
+        row.set_title(result.policy, loc="left", fontsize=9)
+        row.legend(fontsize=7, loc="upper right")
+    figure.autofmt_xdate()
+    return figure
+
+
+def _waits(results: list[Result]) -> Figure:
+    """How large a part of the tasks waited longer than so long."""
+    figure = Figure(figsize=(7, 3.2))
+    axes = figure.subplots()
+    for result in results:
+        waits = sorted(max(0.1, start.wait) for start in result.outcome.starts)
+        if waits:
+            shares = [1 - n / len(waits) for n in range(len(waits))]
+            axes.plot(waits, shares, color=COLOURS[result.policy], label=result.policy)
+    axes.set_xscale("log")
+    axes.set_xlabel("wait (s)")
+    axes.set_ylabel("part of the tasks that wait longer")
+    axes.yaxis.set_major_formatter(FuncFormatter(lambda share, _: f"{share:.0%}"))
+    axes.legend()
+    return figure
+
+
+def _by_burst(results: list[Result], bursts: list[Burst]) -> Figure:
+    figure = Figure(figsize=(11, 3.2))
+    axes = figure.subplots()
+    width = 0.8 / max(1, len(results))
+    for number, result in enumerate(results):
+        heights = [result.figures["by_burst"][burst.name]["wait_p95_s"] for burst in bursts]
+        places = [n + number * width for n in range(len(bursts))]
+        axes.bar(places, heights, width, color=COLOURS[result.policy], label=result.policy)
+    axes.set_xticks(
+        [n + 0.4 - width / 2 for n in range(len(bursts))], [b.name for b in bursts], rotation=30, ha="right"
+    )
+    axes.set_ylabel("p95 of the wait (s)")
+    axes.legend()
+    return figure
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 from roseweir.bell import Bell
 from roseweir.clock import NEVER, SLEPT, pause, seconds, steady, within
@@ -19,6 +20,9 @@
 from roseweir.submissions.jobs import LIVE, MachineType, ended, read_spec
 from roseweir.workers.desk import WorkerDesk
 
+if TYPE_CHECKING:
+    from roseweir.forecast.desk import AheadDesk
+
 log = logging.getLogger(__name__)
 
 # Passes are this far apart at least, so that planning takes a bounded part of the processor. The record takes
@@ -52,7 +56,13 @@
         self.recorder = Recorder(state, self.board, term.version, recorded)
         self.work = asyncio.Event()
         self.workers = WorkerDesk(self.board, term, recorded, self.work, connect)
-        self.cloud = CloudDesk(cloud, self.board, term.may_run)
+        self.ahead: AheadDesk | None = None
+        if tuning.ahead is not None:
+            # Loaded only where it is used: controllers have little memory.
+            from roseweir.forecast import desk
+
+            self.ahead = desk.AheadDesk(tuning.ahead, self.board, state, term.version, term.end)
+        self.cloud = CloudDesk(cloud, self.board, term.may_run, None if self.ahead is None else self.ahead.plan)
         self.open = False  # rebuilt: reports are taken
 
     async def run(self) -> None:
@@ -66,6 +76,8 @@
             group.create_task(self._limits())
             group.create_task(self.workers.direct())
             group.create_task(self.cloud.run())
+            if self.ahead is not None:
+                group.create_task(self.ahead.run())
 
     async def _rebuild(self) -> int:
         """From records first, then from reports. Nothing is answered before the records are read."""
@@ -78,6 +90,12 @@
                 await pause(RETRY)
                 continue
             self.workers.news_at = sent
+            if self.ahead is not None:
+                for run in self.board.jobs.values():
+                    # What the scan found beyond its revision comes again with the first watch.
+                    if run.version <= revision:
+                        self.ahead.learn(run, run.version)
+                self.ahead.news(revision, sent)
             return revision
 
     async def _record(self) -> None:
@@ -97,7 +115,9 @@
                 else:
                     items, revision = changes
                     for item in items:
-                        self._learn(item.key.removeprefix(LIVE), item.value, item.version)
+                        self._learn(item.key.removeprefix(LIVE), item.value, item.version, item.version)
+                if self.ahead is not None:
+                    self.ahead.news(revision, sent, whole=changes is not None)
             except (Trouble, Unreachable) as e:
                 log.info("watching jobs: %s", e)
                 await pause(RETRY)
@@ -108,16 +128,23 @@
         entries, revision = await self.state.scan(LIVE)
         present = {entry.key.removeprefix(LIVE) for entry in entries}
         for entry in entries:
-            self._learn(entry.key.removeprefix(LIVE), entry.value, entry.version)
+            self._learn(entry.key.removeprefix(LIVE), entry.value, entry.version, revision)
         for job_id, run in list(self.board.jobs.items()):
             if job_id not in present and not run.over:
+                if self.ahead is not None:
+                    self.ahead.ended(job_id)
                 await self.recorder.check_job(job_id)
         return revision
 
-    def _learn(self, job_id: str, value: object, version: int) -> None:
+    def _learn(self, job_id: str, value: object, version: int, revision: int) -> None:
+        """`revision`: what is newer than this comes again, and is counted then."""
         if value is not None:
-            self.board.add_job(read_spec(value), version)
+            accepted = self.board.add_job(read_spec(value), version)
+            if self.ahead is not None and version <= revision:
+                self.ahead.learn(accepted, version)
         else:
+            if self.ahead is not None:
+                self.ahead.ended(job_id)
             run = self.board.jobs.get(job_id)
             if run is not None:
                 # Only our own record of its end, or a user's cancel, takes a live key away.
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -246,6 +246,8 @@
             return json_response(200 if await self._reaches_state() else 503, {})
         if path == "/status":
             return json_response(200, self.status())
+        if path == "/forecast":
+            return json_response(200, self.forecast())
         if path.startswith("/job/"):
             return self._job(path.removeprefix("/job/"))
         if path == "/progress":
@@ -278,6 +280,18 @@
             "limits": [] if reign is None else reign.board.limits.describe(steady()),
         }
 
+    def forecast(self) -> dict[str, Any]:
+        reign = self.reign
+        leader = self.leadership.leader
+        answer: dict[str, Any] = {
+            "node": self.settings.name,
+            "leader": None if leader is None else leader.name,
+            "switched_on": self.tuning.ahead is not None,
+        }
+        if reign is not None and reign.ahead is not None:
+            answer |= reign.ahead.describe()
+        return answer
+
     def status(self) -> dict[str, Any]:
         reign = self.reign
         leader = self.leadership.leader
@@ -297,6 +311,8 @@
                 "machines_overdue": len(board.overdue(steady())),
                 "as_of_s": self._age(reign) if reign.open else None,
             }
+            if reign.ahead is not None:
+                answer |= reign.ahead.summary()
         return answer
 
     def _count(self, job_id: str) -> tuple[int, int]:
--- a/roseweir/settings.py
+++ b/roseweir/settings.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 import orjson
@@ -11,6 +11,9 @@
 
 from roseweir.clock import seconds
 
+if TYPE_CHECKING:
+    from roseweir.forecast.settings import AheadSettings, Calendar
+
 Positive = Annotated[float, Meta(gt=0)]
 NotNegative = Annotated[float, Meta(ge=0)]
 Address = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
@@ -178,6 +181,8 @@
     ban_window: timedelta = timedelta(seconds=3)
     lookahead: timedelta = timedelta(seconds=10)
     class_limits: list[ClassLimit] = []
+    # Renting ahead of demand; None: off, and nothing of it is loaded.
+    ahead: "AheadSettings | None" = None
 
 
 def load_tuning(path: Path | None) -> Tuning:
@@ -205,42 +210,54 @@
 
 
 def parse_tuning(forms: list[Any]) -> Tuning:
-    """Read `(startup-limits (fetch-share 1.0) ... (limit (name "x") ...))`."""
+    """Read `(startup-limits (fetch-share 1.0) ... (limit (name "x") ...))` and the forms of what is switched on."""
     tuning = Tuning(class_limits=[])
+    calendar: Calendar | None = None
     for form in forms:
-        head, rest = _form(form)
+        head, rest = read_form(form)
+        if head in ("renting-ahead", "calendar"):
+            # Loaded only where it is used: controllers have little memory.
+            from roseweir.forecast.settings import parse_ahead, parse_calendar
+
+            if head == "calendar":
+                calendar = parse_calendar(rest)
+            else:
+                tuning.ahead = parse_ahead(rest)
+            continue
         if head != "startup-limits":
-            raise SettingsError(f"unknown name `{head}`, expected `startup-limits`")
+            raise SettingsError(f"unknown name `{head}`, expected one of `startup-limits`, `renting-ahead`, `calendar`")
         for entry in rest:
-            name, args = _form(entry)
+            name, args = read_form(entry)
             if name == "limit":
                 tuning.class_limits.append(_class_limit(args))
             elif name in _SPANS:
-                setattr(tuning, name.replace("-", "_"), seconds(_number(name, args, above_zero=True)))
+                setattr(tuning, name.replace("-", "_"), seconds(read_number(name, args, above_zero=True)))
             elif name in _NUMBERS:
-                setattr(tuning, name.replace("-", "_"), _number(name, args, above_zero=name == "fetch-share"))
+                setattr(tuning, name.replace("-", "_"), read_number(name, args, above_zero=name == "fetch-share"))
             elif name in _COUNTS:
-                count = _number(name, args, above_zero=True)
+                count = read_number(name, args, above_zero=True)
                 if count != int(count):
                     raise SettingsError(f"`{name}` must be a whole number")
                 setattr(tuning, name.replace("-", "_"), int(count))
             else:
                 raise SettingsError(f"unknown name `{name}` in `startup-limits`")
+    if calendar is not None:
+        if tuning.ahead is None:
+            raise SettingsError("`calendar` says nothing without `renting-ahead`")
+        tuning.ahead.calendar = calendar
     return tuning
 
 
 def _class_limit(entries: list[Any]) -> ClassLimit:
     fields: dict[str, Any] = {}
     for entry in entries:
-        name, args = _form(entry)
+        name, args = read_form(entry)
         if name in _LIMIT_TEXTS:
-            if len(args) != 1 or not isinstance(args[0], str):
-                raise SettingsError(f"`{name}` in `limit` takes one string")
-            fields[name.replace("-", "_")] = args[0]
+            fields[name.replace("-", "_")] = read_text(name, args)
         elif name in _LIMIT_NUMBERS:
-            fields[name.replace("-", "_")] = _number(name, args, above_zero=name == "count")
+            fields[name.replace("-", "_")] = read_number(name, args, above_zero=name == "count")
         elif name == "window":
-            fields["window"] = seconds(_number(name, args, above_zero=True))
+            fields["window"] = seconds(read_number(name, args, above_zero=True))
         else:
             raise SettingsError(f"unknown name `{name}` in `limit`")
     for needed in ("name", "count", "window"):
@@ -249,13 +266,19 @@
     return ClassLimit(**fields)
 
 
-def _form(value: Any) -> tuple[str, list[Any]]:
+def read_form(value: Any) -> tuple[str, list[Any]]:
     if not isinstance(value, list) or not value or not isinstance(value[0], sexpdata.Symbol):
         raise SettingsError(f"expected a form like (name value), found `{sexpdata.dumps(value)}`")
     return value[0].value(), value[1:]
 
 
-def _number(name: str, args: list[Any], above_zero: bool = False) -> float:
+def read_text(name: str, args: list[Any]) -> str:
+    if len(args) != 1 or not isinstance(args[0], str):
+        raise SettingsError(f"`{name}` takes one string")
+    return args[0]
+
+
+def read_number(name: str, args: list[Any], above_zero: bool = False) -> float:
     if len(args) != 1 or isinstance(args[0], bool) or not isinstance(args[0], int | float):
         raise SettingsError(f"`{name}` takes one number")
     if args[0] < 0 or (above_zero and args[0] == 0):
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -43,7 +43,7 @@
 
 def keep_silent_machines(patch: pytest.MonkeyPatch) -> None:
     """Giving back machines that went silent would hide what the two variants below do wrong."""
-    patch.setattr(cloud_desk, "surplus", lambda board, left, now: [])
+    patch.setattr(cloud_desk, "surplus", lambda board, left, now, kept: [])
 
 
 def no_fencing(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -176,14 +176,14 @@
     board, _ = fleet(50)
     left = Pass(left=[(board.add_job(job(number), 1), 1) for number in range(100)])
     looks = 0
-    standing = cloud_plan._standing
+    standing = cloud_plan.standing
 
     def counted(board: Board, now: datetime) -> Iterable[Machine]:
         nonlocal looks
         looks += 1
         return standing(board, now)
 
-    monkeypatch.setattr(cloud_plan, "_standing", counted)
+    monkeypatch.setattr(cloud_plan, "standing", counted)
     cloud_plan.wanted(board, left, {}, 0, NOW)
     assert looks == 1
 
