--- a/roseweir/forecast/desk.py
+++ b/roseweir/forecast/desk.py
@@ -19,8 +19,9 @@
 log = logging.getLogger(__name__)
 
 TICK = timedelta(seconds=1)
-# One change a minute at most: a block when something in it is new.
-SAVE = timedelta(seconds=60)
+# The open hour's block is written this often, and twice when the hour is over: 57 changes an hour at most. What a
+# take-over loses of a slot leaves enough of it watched for its count to be used.
+SAVE = timedelta(seconds=65)
 REPORT = timedelta(seconds=60)
 # News that comes further apart than this leaves the time between unknown.
 GAP = timedelta(seconds=5)
--- a/roseweir/forecast/predict.py
+++ b/roseweir/forecast/predict.py
@@ -56,6 +56,8 @@
         # Weeks that are over do not change, so neither do these.
         self._past: OrderedDict[int, dict[Pool, float]] = OrderedDict()
         self._expected: OrderedDict[int, dict[Pool, Expected]] = OrderedDict()
+        self._shapes: dict[Pool, Shape] = {}
+        self._shapes_at = -1
 
     def is_guest(self, team: str) -> bool:
         known = self.teams.get(team)
@@ -265,12 +267,21 @@
         return needs
 
     def shapes(self) -> dict[Pool, Shape]:
-        """The largest task and image of each pool."""
-        found: dict[Pool, Shape] = {}
-        for key, series in self.history.series.items():
-            known = found.get(key.pool)
-            found[key.pool] = series.shape if known is None else known.over(series.shape)
-        return found
+        """The task of each pool's heaviest series, and the pool's largest image.
+
+        The largest of every measure would make a task that no job has, and that may fit no machine.
+        """
+        if self._shapes_at != self.history.newest or not self._shapes.keys() >= {k.pool for k in self.history.series}:
+            self._shapes_at = self.history.newest
+            heaviest: dict[Pool, tuple[float, Shape]] = {}
+            images: dict[Pool, float] = {}
+            for key, series in self.history.series.items():
+                weight = sum(series.areas)
+                images[key.pool] = max(images.get(key.pool, 0.0), series.shape.image_gb)
+                if key.pool not in heaviest or weight > heaviest[key.pool][0]:
+                    heaviest[key.pool] = weight, series.shape
+            self._shapes = {p: shape._replace(image_gb=images[p]) for p, (_, shape) in heaviest.items()}
+        return self._shapes
 
     def days(self, now: float) -> int:
         """How many days of the ring were watched at least in part."""
--- a/roseweir/forecast/tools/simulate.py
+++ b/roseweir/forecast/tools/simulate.py
@@ -181,7 +181,8 @@
             renew_class_limits(board.limits, board.tuning, now)
             board.limits.expire(now)
         board.changed = False
-        self.last_pass = plan(board, now)
+        waiting = any(run.pending > 0 for run in board.jobs.values())
+        self.last_pass = plan(board, now) if waiting else Pass()
         for placement in board.planned:
             if placement.run.placed.get(placement.index) is placement and placement.phase == Phase.PLANNED:
                 placement.phase = Phase.SEEN
