--- a/roseweir/forecast/ahead.py
+++ b/roseweir/forecast/ahead.py
@@ -44,10 +44,7 @@
     kept: dict[str, str] = field(default_factory=dict)  # machine: why
     holds: list[Hold] = field(default_factory=list)
     price: float = 0.0  # an hour, of what is kept idle or being rented
-
-    @property
-    def machines(self) -> int:
-        return len(self.kept) + sum(want.count for want in self.wants)
+    machines: int = 0  # kept idle or being rented
 
 
 def sample_job(need: Need) -> JobSpec:
@@ -98,6 +95,8 @@
 ) -> Ahead:
     """Orders to add to `wants`, and the machines that are not to go back as idle."""
     ahead = Ahead()
+    if not needs:
+        return ahead
     there = sorted(standing(board, now), key=_first)
     used: dict[bool, set[str]] = {True: set(), False: set()}
     ordered = list(wants)
@@ -107,22 +106,27 @@
         spec = sample_job(need)
         missing = need.units
         idle = 0
+        # By type, and not for each of hundreds of machines.
+        held = {kind.name: _units(board, spec, kind) for kind in board.catalog.values() if spec.fits(kind)}
+        dear = {name for name in held if _dear(board, spec, board.catalog[name])}
         for machine in there:
             if missing <= 1e-6:
                 break
-            if machine.name in used[need.pool.gpus] or not suits(spec, machine) or not spec.fits(machine.type):
+            name = machine.type.name
+            if machine.name in used[need.pool.gpus] or held.get(name, 0.0) <= 0 or not suits(spec, machine):
                 continue
-            if _dear(board, spec, machine.type) and machine.name not in used[True]:
+            if name in dear and machine.name not in used[True]:
                 continue
-            if not _may_keep(board, machine, ahead, settings):
+            if not _may_keep(machine, ahead, settings):
                 continue
-            missing -= _units(board, spec, machine.type)
+            missing -= held[name]
             used[need.pool.gpus].add(machine.name)
             if not machine.placements:
                 idle += 1
                 if machine.name not in ahead.kept:
                     ahead.kept[machine.name] = f"{need.pool}: {need.why}"
                     ahead.price += _price(machine.type, machine.spot)
+                    ahead.machines += 1
         missing = _deduct(board, spec, missing, left)
         there_units = need.units - max(0.0, missing)
         got, renting = 0.0, 0
@@ -161,13 +165,12 @@
     return spec.gpus <= 0 < kind.gpus and any(spec.fits(k) for k in board.catalog.values() if k.gpus <= 0)
 
 
-def _may_keep(board: Board, machine: Machine, ahead: Ahead, settings: AheadSettings) -> bool:
+def _may_keep(machine: Machine, ahead: Ahead, settings: AheadSettings) -> bool:
     if machine.placements or machine.name in ahead.kept:
         return True
-    return (
-        ahead.machines < settings.machines_most
-        and ahead.price + _price(machine.type, machine.spot) <= settings.money_most + 1e-9
-    )
+    if ahead.machines >= settings.machines_most:
+        return False
+    return ahead.price + _price(machine.type, machine.spot) <= settings.money_most + 1e-9
 
 
 def _deduct(board: Board, spec: JobSpec, missing: float, left: dict[Want, int]) -> float:
@@ -196,15 +199,14 @@
     chosen = list(ordered)
     choose(board, spec, missing, refused, chosen, now)
     wants: list[Want] = []
-    machines = ahead.machines
     for want in chosen[len(ordered) :]:
         price = _price(board.catalog[want.type_name], want.spot)
-        count = min(want.count, int(settings.machines_most - machines))
+        count = min(want.count, int(settings.machines_most - ahead.machines))
         if price > 0:
             count = min(count, int((settings.money_most - ahead.price) / price + 1e-9))
         if count <= 0:
             continue
-        machines += count
+        ahead.machines += count
         ahead.price += price * count
         wants.append(Want(want.type_name, want.zone, want.spot, count, ahead=True))
     return wants
--- a/roseweir/forecast/settings.py
+++ b/roseweir/forecast/settings.py
@@ -1,6 +1,6 @@
 """The operators' forms `(renting-ahead ...)` and `(calendar ...)`."""
 
-from datetime import date, datetime, timedelta
+from datetime import UTC, date, datetime, timedelta, tzinfo
 from typing import Any
 from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
 
@@ -30,8 +30,9 @@
     events: list[Event] = msgspec.field(default_factory=list)
 
     @property
-    def zone(self) -> ZoneInfo:
-        return ZoneInfo(self.time_zone)
+    def zone(self) -> tzinfo:
+        # A machine without a list of time zones still knows this one.
+        return UTC if self.time_zone == "UTC" else ZoneInfo(self.time_zone)
 
     def is_holiday(self, day: date) -> bool:
         return (day.year, day.month, day.day) in self.holidays or (None, day.month, day.day) in self.holidays
@@ -127,7 +128,7 @@
         if name == "time-zone":
             found.time_zone = read_text(name, args)
             try:
-                ZoneInfo(found.time_zone)
+                _ = found.zone
             except (ZoneInfoNotFoundError, ValueError, OSError):
                 raise SettingsError(f"unknown time zone `{found.time_zone}` in `calendar`") from None
         elif name == "holiday":
--- a/roseweir/forecast/tools/compare.py
+++ b/roseweir/forecast/tools/compare.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Callable, Iterable
 from concurrent.futures import ProcessPoolExecutor
-from datetime import UTC, datetime, time, timedelta
+from datetime import UTC, datetime, time, timedelta, tzinfo
 from typing import Any, NamedTuple
-from zoneinfo import ZoneInfo
 
 import msgspec
 from hdrh.histogram import HdrHistogram
@@ -52,7 +51,7 @@
     size: float | None = None
 
 
-def begin_of_measure(load: list[Arrival], days: int, zone: ZoneInfo) -> float:
+def begin_of_measure(load: list[Arrival], days: int, zone: tzinfo) -> float:
     """Local midnight, so many days before the end of the load's last day."""
     last = datetime.fromtimestamp(load[-1].at, UTC).astimezone(zone).date()
     return datetime.combine(last - timedelta(days=days - 1), time(), zone).timestamp()
--- a/roseweir/forecast/tools/report.py
+++ b/roseweir/forecast/tools/report.py
@@ -1,11 +1,10 @@
 """The HTML report of a comparison: one file, with its plots inside."""
 
-from datetime import UTC, datetime
+from datetime import UTC, datetime, tzinfo
 from importlib.resources import files
 from io import StringIO
 from pathlib import Path
 from typing import Any
-from zoneinfo import ZoneInfo
 
 import jinja2
 import markupsafe
@@ -19,14 +18,14 @@
 COLOURS = {"none": "#9a3b3b", "reserve": "#8a7a2f", "ahead": "#2f6f8a", "best": "#5a8a4a"}
 
 
-def write_report(path: Path, results: list[Result], bursts: list[Burst], zone: ZoneInfo, title: str) -> None:
+def write_report(path: Path, results: list[Result], bursts: list[Burst], zone: tzinfo, title: str) -> None:
     environment = jinja2.Environment(autoescape=True, undefined=jinja2.StrictUndefined, trim_blocks=True)
     template = environment.from_string(files(__package__).joinpath("report.html.j2").read_text())
     page = template.render(
         title=title,
         results=results,
         bursts=bursts,
-        zone=zone.key,
+        zone=str(zone),
         demand=_svg(_demand(results, zone)),
         waits=_svg(_waits(results)),
         by_burst=_svg(_by_burst(results, bursts)),
@@ -41,7 +40,7 @@
     return markupsafe.Markup(text[text.index("<svg") :])
 
 
-def _demand(results: list[Result], zone: ZoneInfo) -> Figure:
+def _demand(results: list[Result], zone: tzinfo) -> Figure:
     """CPUs offered, standing and held, policy by policy."""
     figure = Figure(figsize=(11, 2.1 * len(results)))
     axes = figure.subplots(len(results), 1, sharex=True, squeeze=False)
