--- a/benchmarks/forecast.py
+++ b/benchmarks/forecast.py
@@ -64,7 +64,7 @@
             pool = pools[row % len(pools)]
             shape = Shape(2.0, 1.0 if pool.gpus else 0.0, 8.0, 4.0)
             key = Key(pool, f"class-{row}", f"t{row % 8}")
-            history.count(Demand(f"j-{number}", key, shape, False, at, 1500.0, 20.0, 30000.0, 10))
+            history.count(Demand(f"j-{number}", key, shape, at, 1500.0, 20.0, 30000.0, 10))
             number += 1
         history.cover(at - 1800, at)
         counts.append((time.process_time() - begun) / series)
--- a/roseweir/forecast/history.py
+++ b/roseweir/forecast/history.py
@@ -72,7 +72,6 @@
     job_id: str
     key: Key
     shape: Shape
-    guest: bool
     at: float
     span_s: float  # inf: until it is cancelled
     units: float
@@ -135,7 +134,7 @@
 
 
 class History:
-    def __init__(self, slot_s: int, weeks: int, series_most: int) -> None:
+    def __init__(self, slot_s: int, weeks: int, series_most: int, guests: Iterable[str] = ()) -> None:
         self.slot_s = slot_s
         self.series_most = series_most
         self.days = weeks * 7 + 1
@@ -151,8 +150,7 @@
         self._levels: dict[Key, float] = {}
         self._active: dict[str, _Active] = {}
         self._ends: list[tuple[float, str]] = []
-        # Teams without a guarantee. Only teams of the settings are ever accepted, so these are few.
-        self._guests: set[str] = set()
+        self._guests = frozenset(guests)  # teams without a guarantee
 
     # -- time ---------------------------------------------------------------------------------
 
@@ -279,14 +277,13 @@
     def _place(self, demand: Demand) -> Key:
         """The series for a job: its own, its team's, or one for all, whatever there is room for."""
         key = demand.key
-        guests = sum(k.team == GUESTS or k.team in self._guests for k in self.series) if demand.guest else 0
-        if demand.guest:
-            self._guests.add(key.team)
+        guest = key.team in self._guests
+        guests = sum(k.team == GUESTS or k.team in self._guests for k in self.series) if guest else 0
         room = len(self.series) < self.series_most and guests < self.series_most * GUEST_SERIES
         wide = Key(key.pool, ANY, key.team)
         if key in self.series or room:
             chosen = key
-        elif wide in self.series or (not demand.guest and len(self.series) < self.series_most + WIDE):
+        elif wide in self.series or (not guest and len(self.series) < self.series_most + WIDE):
             chosen = wide
         else:
             chosen = self._coarse(key)
--- a/roseweir/forecast/planner.py
+++ b/roseweir/forecast/planner.py
@@ -8,7 +8,7 @@
 from roseweir.cloud.plan import Offer, Want, time_left, units
 from roseweir.forecast.ahead import Ahead, lead_s, plan_ahead, sample_job
 from roseweir.forecast.history import BOOTS_KEPT, Demand, History, Key, Pool, Shape
-from roseweir.forecast.predict import Forecast, Need
+from roseweir.forecast.predict import Forecast, Need, guest_teams
 from roseweir.forecast.settings import AheadSettings
 from roseweir.placement.board import Board
 from roseweir.placement.model import JobRun
@@ -27,8 +27,9 @@
     def __init__(self, settings: AheadSettings, board: Board) -> None:
         self.settings = settings
         self.board = board
-        self.history = History(settings.slot_s, settings.weeks, settings.series_most)
-        self.forecast = Forecast(settings, board.teams, self.history)
+        guests = guest_teams(board.teams.values())
+        self.history = History(settings.slot_s, settings.weeks, settings.series_most, guests)
+        self.forecast = Forecast(settings, board.teams, self.history, guests)
         # Where needs come from: the forecast, or what a replay compares it with.
         self.source: Needs = self.forecast.needs
         self.needs: list[Need] = []
@@ -52,8 +53,7 @@
         shape = Shape(spec.cpus, spec.gpus, spec.memory_gb, spec.image_gb)
         # Clocks differ by a bounded skew: nothing was accepted later than now.
         at = min(spec.accepted_ms / 1000, now)
-        guest = self.forecast.is_guest(spec.team)
-        return Demand(spec.id, key, shape, guest, at, span, at_once, work, spec.tasks)
+        return Demand(spec.id, key, shape, at, span, at_once, work, spec.tasks)
 
     def _pool(self, spec: JobSpec) -> Pool:
         fitting = [kind.name for kind in self.board.catalog.values() if spec.fits(kind)]
--- a/roseweir/forecast/predict.py
+++ b/roseweir/forecast/predict.py
@@ -7,7 +7,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from datetime import UTC, datetime, timedelta
 from typing import NamedTuple
 
@@ -44,25 +44,28 @@
     why: str
 
 
+def guest_teams(teams: Iterable[Team]) -> frozenset[str]:
+    """Teams without a guarantee; where nobody has one, nobody is a guest."""
+    known = list(teams)
+    return frozenset(t.name for t in known if not t.guaranteed) if any(t.guaranteed for t in known) else frozenset()
+
+
 class Forecast:
-    def __init__(self, settings: AheadSettings, teams: Mapping[str, Team], history: History) -> None:
+    def __init__(
+        self, settings: AheadSettings, teams: Mapping[str, Team], history: History, guests: frozenset[str]
+    ) -> None:
         self.settings = settings
         self.calendar = settings.calendar
         self.zone = self.calendar.zone
         self.teams = teams
         self.history = history
-        # Where nobody has a guarantee, nobody is a guest.
-        self.guarantees = any(team.guaranteed for team in teams.values())
+        self.guests = guests | {GUESTS}
         # Weeks that are over do not change, so neither do these.
         self._past: OrderedDict[int, dict[Pool, float]] = OrderedDict()
         self._expected: OrderedDict[int, dict[Pool, Expected]] = OrderedDict()
         self._shapes: dict[Pool, Shape] = {}
         self._shapes_at = -1
 
-    def is_guest(self, team: str) -> bool:
-        known = self.teams.get(team)
-        return self.guarantees and (team == GUESTS or (known is not None and not known.guaranteed))
-
     # -- one slot -----------------------------------------------------------------------------
 
     def demand(self, slot: int) -> dict[Pool, float]:
@@ -86,7 +89,7 @@
         own = {True: 0.0, False: 0.0}
         for key, _, units in rows:
             units *= scales[key.team]
-            if self.is_guest(key.team):
+            if key.team in self.guests:
                 guests[key.pool] = guests.get(key.pool, 0.0) + units
             else:
                 demand[key.pool] = demand.get(key.pool, 0.0) + units
--- a/roseweir/forecast/tools/compare.py
+++ b/roseweir/forecast/tools/compare.py
@@ -140,13 +140,15 @@
             best: Result | None = None
             for _ in range(2):
                 sizes = [low + (high - low) * n / SIZES for n in range(1, SIZES + 1)]
-                outcomes = pool.map(_played, [(case, RESERVE, size) for size in sizes])
-                for size, outcome in zip(sizes, outcomes, strict=True):
-                    found = _result(RESERVE, outcome, bursts)
+                futures = [pool.submit(_played, (case, RESERVE, size)) for size in sizes]
+                for size, future in zip(sizes, futures, strict=True):
+                    found = _result(RESERVE, future.result(), bursts)
                     found.size = size
                     progress(f"reserve of {size:.3f} of the highest demand: {summary(found.figures)}")
                     if found.figures["burst"]["wait_p95_s"] <= aim:
                         best, high = found, size
+                        for later in futures:
+                            later.cancel()
                         break
                     low = size
                 else:
--- a/tests/test_demand_history.py
+++ b/tests/test_demand_history.py
@@ -123,7 +123,7 @@
 
 
 def test_thousand_classes_of_many_teams_stay_within_the_bounds_and_lose_no_task() -> None:
-    history = History(SLOT, 2, 24)
+    history = History(SLOT, 2, 24, guests=["guest"])
     tasks = 0
     for number in range(1000):
         guest = number % 3 == 0
--- a/tests/weeks.py
+++ b/tests/weeks.py
@@ -18,7 +18,7 @@
 ) -> Demand:
     key = Key(CPUS, job_class, team)
     name = f"j-{round(at * 1000) * 1000 + number}"
-    return Demand(name, key, Shape(2.0, 0.0, 4.0, 1.0), team == "guest", at, span, units, units * span, int(units / 2))
+    return Demand(name, key, Shape(2.0, 0.0, 4.0, 1.0), at, span, units, units * span, int(units / 2))
 
 
 class Weeks:
