--- a/roseweir/forecast/predict.py
+++ b/roseweir/forecast/predict.py
@@ -240,7 +240,7 @@
         return factor, f"level {factor:.2f}"
 
     def needs(self, now: float, leads: Mapping[Pool, float]) -> list[Need]:
-        """What should stand ready: the most that is expected from now until what is ordered now has been up a slot.
+        """What should stand ready: the most that is expected from now until what is ordered now is of use.
 
         `leads` is how long a pool's machines take until they are of use, in seconds; pools that it does not
         name take a slot.
@@ -249,12 +249,12 @@
         slot = history.slot_of(now)
         ahead: dict[int, dict[Pool, Expected]] = {}
         longest = max([*leads.values(), float(history.slot_s)], default=0.0)
-        for number in range(slot, history.slot_of(now + longest + history.slot_s) + 1):
+        for number in range(slot, history.slot_of(now + longest) + 1):
             ahead[number] = self.expect(number)
         best: dict[Pool, tuple[Expected, int]] = {}
         for number, pools in ahead.items():
             for pool, expected in pools.items():
-                if number > history.slot_of(now + leads.get(pool, history.slot_s) + history.slot_s):
+                if number > history.slot_of(now + leads.get(pool, history.slot_s)):
                     continue
                 if expected.units > best.get(pool, (Expected(0, 0, 0, 0, ""), 0))[0].units:
                     best[pool] = expected, number
--- a/roseweir/forecast/tools/compare.py
+++ b/roseweir/forecast/tools/compare.py
@@ -92,11 +92,11 @@
         history, forecast = replay.planner.history, replay.planner.forecast
 
         def known(now: float, leads: dict[Pool, float]) -> list[Need]:
-            """What will be asked for until an order of now has been up for a slot."""
+            """What will be asked for until an order of now is of use."""
             shapes = forecast.shapes()
             most: dict[Pool, float] = {}
             for pool, shape in shapes.items():
-                last = history.slot_of(now + leads.get(pool, history.slot_s) + history.slot_s)
+                last = history.slot_of(now + leads.get(pool, history.slot_s))
                 slots = range(history.slot_of(now), last + 1)
                 most[pool] = max(peaks.get(slot, {}).get(pool, 0.0) for slot in slots)
                 del shape
--- a/roseweir/forecast/tools/simulate.py
+++ b/roseweir/forecast/tools/simulate.py
@@ -369,7 +369,7 @@
         offered = sum(peak for key, _, peak, _ in history.loads(slot - 1) if not key.pool.gpus)
         there = sum(m.type.cpus for m in self.board.machines.values() if m.type.gpus <= 0)
         held = sum(need.units for need in self.planner.needs if not need.pool.gpus) if self.switched_on else 0.0
-        self.outcome.course.append((slot * float(history.slot_s), offered, there, held))
+        self.outcome.course.append(((slot - 1) * float(history.slot_s), offered, there, held))
         if self.end > self.begin:
             self.progress(min(1.0, (at - self.begin) / (self.end - self.begin)))
 
