--- a/roseweir/cli.py
+++ b/roseweir/cli.py
@@ -97,6 +97,7 @@
     print(
         f"{settings.name}: {len(settings.peers)} peers, {len(settings.params.teams)} teams, "
         f"{len(settings.params.objectives)} objectives, {len(tuning.class_limits)} class limits"
+        + (", renting ahead" if tuning.ahead is not None else "")
     )
     return 0
 
--- a/roseweir/forecast/tools/compare.py
+++ b/roseweir/forecast/tools/compare.py
@@ -1,8 +1,9 @@
 """`forecast compare`: the same load under each policy, and what each made of it."""
 
 from collections.abc import Callable, Iterable
-from concurrent.futures import ProcessPoolExecutor
+from concurrent.futures import Future, ProcessPoolExecutor, wait
 from datetime import UTC, datetime, time, timedelta, tzinfo
+from multiprocessing import Array
 from typing import Any, NamedTuple
 
 import msgspec
@@ -24,6 +25,8 @@
 SIZES, LARGEST = 8, 1.2
 # A reserve counts as reaching the same 95th percentile within a second.
 SAME_S = 1.0
+# Progress is told this often, in seconds.
+TELL_S = 10.0
 LONGEST_WAIT_MS = 7 * 86400 * 1000
 
 
@@ -117,8 +120,39 @@
     return replay.run()
 
 
-def _played(job: tuple[Case, str, float]) -> Outcome:
-    return play(*job)
+# How far each replay is, shared with the processes that run them.
+_shares: Any = None
+
+
+def _begin_worker(shares: Any) -> None:
+    global _shares
+    _shares = shares
+
+
+def _played(case: Case, policy: str, size: float, place: int) -> Outcome:
+    def progress(share: float) -> None:
+        _shares[place] = share
+
+    return play(case, policy, size, progress)
+
+
+class _Pool:
+    """Replays in processes of their own, with word of how far they are."""
+
+    def __init__(self, pool: ProcessPoolExecutor, shares: Any, tell: Callable[[str], None]) -> None:
+        self._pool, self._shares, self._tell = pool, shares, tell
+        self._places = 0
+
+    def start(self, case: Case, policy: str, size: float = 0.0) -> Future[Outcome]:
+        future = self._pool.submit(_played, case, policy, size, self._places)
+        self._places += 1
+        return future
+
+    def result(self, future: Future[Outcome]) -> Outcome:
+        while not wait([future], TELL_S).done:
+            far = [f"{share:.0%}" for share in self._shares if 0 < share < 1]
+            self._tell(f"replays under way: {', '.join(far)}" if far else "replays begin")
+        return future.result()
 
 
 def compare(
@@ -128,11 +162,13 @@
     bursts = bursts_of(case)
     wanted = list(policies)
     results: dict[str, Result] = {}
-    with ProcessPoolExecutor(workers) as pool:
+    shares = Array("d", len(POLICIES) + 2 * SIZES)
+    with ProcessPoolExecutor(workers, initializer=_begin_worker, initargs=(shares,)) as processes:
+        pool = _Pool(processes, shares, progress)
         plain = [p for p in POLICIES if p != RESERVE and (p in wanted or (p == AHEAD and RESERVE in wanted))]
-        running = {p: pool.submit(_played, (case, p, 0.0)) for p in plain}
+        running = {p: pool.start(case, p) for p in plain}
         for policy, future in running.items():
-            results[policy] = _result(policy, future.result(), bursts)
+            results[policy] = _result(policy, pool.result(future), bursts)
             progress(f"{policy}: {summary(results[policy].figures)}")
         if RESERVE in wanted:
             aim = results[AHEAD].figures["burst"]["wait_p95_s"] + SAME_S
@@ -140,9 +176,9 @@
             best: Result | None = None
             for _ in range(2):
                 sizes = [low + (high - low) * n / SIZES for n in range(1, SIZES + 1)]
-                futures = [pool.submit(_played, (case, RESERVE, size)) for size in sizes]
+                futures = [pool.start(case, RESERVE, size) for size in sizes]
                 for size, future in zip(sizes, futures, strict=True):
-                    found = _result(RESERVE, future.result(), bursts)
+                    found = _result(RESERVE, pool.result(future), bursts)
                     found.size = size
                     progress(f"reserve of {size:.3f} of the highest demand: {summary(found.figures)}")
                     if found.figures["burst"]["wait_p95_s"] <= aim:
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -260,8 +260,7 @@
 
     def _job(self, job_id: str) -> Response:
         reign = self.reign
-        leader = self.leadership.leader
-        known = {"node": self.settings.name, "leader": None if leader is None else leader.name}
+        known = self._who()
         found = None if reign is None or not reign.open else explain(reign.board, job_id, steady())
         if reign is None or found is None:
             return json_response(404, known | {"error": f"this controller has no unfinished job {job_id}"})
@@ -271,23 +270,18 @@
         """How old the leader's knowledge of submissions and cancels is."""
         return round((steady() - reign.workers.news_at).total_seconds(), 1)
 
+    def _who(self) -> dict[str, Any]:
+        """Who answers, and who leads as far as it knows."""
+        leader = self.leadership.leader
+        return {"node": self.settings.name, "leader": None if leader is None else leader.name}
+
     def limits(self) -> dict[str, Any]:
         reign = self.reign
-        leader = self.leadership.leader
-        return {
-            "node": self.settings.name,
-            "leader": None if leader is None else leader.name,
-            "limits": [] if reign is None else reign.board.limits.describe(steady()),
-        }
+        return self._who() | {"limits": [] if reign is None else reign.board.limits.describe(steady())}
 
     def forecast(self) -> dict[str, Any]:
         reign = self.reign
-        leader = self.leadership.leader
-        answer: dict[str, Any] = {
-            "node": self.settings.name,
-            "leader": None if leader is None else leader.name,
-            "switched_on": self.tuning.ahead is not None,
-        }
+        answer = self._who() | {"switched_on": self.tuning.ahead is not None}
         if reign is not None and reign.ahead is not None:
             answer |= reign.ahead.describe()
         return answer
@@ -295,11 +289,7 @@
     def status(self) -> dict[str, Any]:
         reign = self.reign
         leader = self.leadership.leader
-        answer: dict[str, Any] = {
-            "node": self.settings.name,
-            "leader": None if leader is None else leader.name,
-            "term": None if leader is None else leader.term,
-        }
+        answer = self._who() | {"term": None if leader is None else leader.term}
         if reign is not None:
             board = reign.board
             answer |= {
