--- a/roseweir/forecast/cli.py
+++ b/roseweir/forecast/cli.py
@@ -70,6 +70,9 @@
     if answer["leader"] != answer["node"]:
         print(f"{answer['node']} does not lead; ask {answer['leader'] or 'nobody known'}")
         return
+    if answer.get("broken"):
+        print(f"renting ahead has stopped for this term, see the log: {answer['broken']}")
+        return
     if "loaded" not in answer:
         print(f"{answer['node']} is taking over")
         return
--- a/roseweir/forecast/desk.py
+++ b/roseweir/forecast/desk.py
@@ -3,12 +3,12 @@
 import logging
 from collections.abc import Callable
 from datetime import datetime, timedelta
-from typing import Any
+from typing import Any, TypeVar
 
 from roseweir import clock
 from roseweir.clock import NEVER, pause, steady
 from roseweir.cloud.plan import Offer, Want
-from roseweir.forecast.ahead import Hold
+from roseweir.forecast.ahead import Ahead, Hold
 from roseweir.forecast.planner import Planner
 from roseweir.forecast.settings import AheadSettings
 from roseweir.forecast.store import Deposed, Store
@@ -29,6 +29,9 @@
 SHOWN = timedelta(hours=2)
 
 
+T = TypeVar("T")
+
+
 class AheadDesk:
     def __init__(
         self,
@@ -45,6 +48,7 @@
         self.store = Store(state, self.history, leader_version)
         self._depose = depose
         self.loaded = False
+        self.broken = ""  # the fault that stopped it
         # Jobs and ends that came before the history was read, in their order.
         self._early: list[tuple[JobRun, int] | str] = []
         self._known: set[str] = set()
@@ -55,8 +59,39 @@
 
     # -- what the leader learns ---------------------------------------------------------------
 
+    def _safely(self, act: Callable[[], T], otherwise: T) -> T:
+        """A fault in here must not end the term: renting ahead stops, and everything else goes on."""
+        if self.broken:
+            return otherwise
+        try:
+            return act()
+        except Exception as e:
+            self._fail(e)
+            return otherwise
+
+    def _fail(self, error: Exception) -> None:
+        self.broken = f"{type(error).__name__}: {error}"
+        log.exception("renting ahead has stopped for this term")
+
     def learn(self, run: JobRun, version: int) -> None:
         """A job that is accepted, and the revision that its acceptance made."""
+        self._safely(lambda: self._learn(run, version), None)
+
+    def ended(self, job_id: str) -> None:
+        self._safely(lambda: self._end(job_id), None)
+
+    def news(self, revision: int, sent: datetime, whole: bool = True) -> None:
+        """Every job accepted up to this revision has been learned. `whole`: those that ended since, too."""
+        self._safely(lambda: self._hear(revision, sent, whole), None)
+
+    def plan(
+        self, wants: list[Want], refused: dict[Offer, datetime], now: datetime
+    ) -> tuple[list[Want], dict[str, str]]:
+        """For the cloud's desk: what else to rent, and the machines to keep ready."""
+        nothing: tuple[list[Want], dict[str, str]] = ([], {})
+        return self._safely(lambda: self._plan(wants, refused, now), nothing)
+
+    def _learn(self, run: JobRun, version: int) -> None:
         if run.over or run.spec.id in self._known:
             return
         self._known.add(run.spec.id)
@@ -65,7 +100,7 @@
         else:
             self._early.append((run, version))
 
-    def ended(self, job_id: str) -> None:
+    def _end(self, job_id: str) -> None:
         if job_id not in self._known:
             return
         self._known.discard(job_id)
@@ -74,8 +109,7 @@
         else:
             self._early.append(job_id)
 
-    def news(self, revision: int, sent: datetime, whole: bool = True) -> None:
-        """Every job accepted up to this revision has been learned. `whole`: those that ended since, too."""
+    def _hear(self, revision: int, sent: datetime, whole: bool) -> None:
         now, wall = steady(), _wall()
         if whole and self._news != NEVER and sent - self._news <= GAP:
             span = (wall - (now - self._news).total_seconds(), wall - (now - sent).total_seconds())
@@ -93,10 +127,16 @@
     # -- routine ------------------------------------------------------------------------------
 
     async def run(self) -> None:
+        try:
+            await self._run()
+        except Exception as e:
+            self._fail(e)
+
+    async def _run(self) -> None:
         await self.store.load(_wall())
         self._begin()
         saved = reported = steady()
-        while True:
+        while not self.broken:
             await pause(TICK)
             self.history.roll(_wall())
             now = steady()
@@ -128,10 +168,9 @@
         days = self.planner.forecast.days(wall)
         log.info("demand history: %d days known, %d series", days, len(self.history.series))
 
-    def plan(
+    def _plan(
         self, wants: list[Want], refused: dict[Offer, datetime], now: datetime
     ) -> tuple[list[Want], dict[str, str]]:
-        """For the cloud's desk: what else to rent, and the machines to keep ready."""
         if not self.loaded:
             return [], {}
         ahead = self.planner.plan(wants, refused, _wall(), now)
@@ -148,14 +187,17 @@
 
     def summary(self) -> dict[str, Any]:
         """For `status`: how many machines are held ahead, and why."""
-        ahead = self.planner.ahead
+        ahead = Ahead() if self.broken else self.planner.ahead
         return {
             "machines_ahead": len(ahead.kept),
-            "ahead": [_words(hold) for hold in ahead.holds],
+            "ahead": [f"stopped: {self.broken}"] if self.broken else [_words(hold) for hold in ahead.holds],
         }
 
     def describe(self) -> dict[str, Any]:
         """For `forecast show`: what is expected, why, what is held, and what is known."""
+        return self._safely(self._describe, {"loaded": False, "broken": self.broken})
+
+    def _describe(self) -> dict[str, Any]:
         wall = _wall()
         forecast, ahead, history = self.planner.forecast, self.planner.ahead, self.history
         now_slot = history.slot_of(wall)
--- a/tests/test_demand_history.py
+++ b/tests/test_demand_history.py
@@ -12,6 +12,7 @@
 
 from roseweir.forecast import desk
 from roseweir.forecast.history import BLOCK_S, WIDE, Demand, History, Nonsense
+from roseweir.forecast.planner import Planner
 from roseweir.forecast.settings import AheadSettings
 from roseweir.forecast.store import Deposed, Store
 from roseweir.http import Unreachable
@@ -335,6 +336,7 @@
             for node in world.nodes:
                 reign = None if node.service is None else node.service.reign
                 if reign is not None and reign.ahead is not None:
+                    assert not reign.ahead.broken, reign.ahead.broken
                     ahead.append(len(reign.ahead.planner.ahead.kept))
                     assert "machines_ahead" in node.service.status()  # type: ignore[union-attr]
 
@@ -357,3 +359,23 @@
             )
     assert len(counted) >= len(world.accepted) / 2
     assert max(ahead, default=0) > 0
+
+
+def test_fault_in_the_forecast_ends_no_term(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fault(*args: object) -> None:
+        raise ZeroDivisionError("drawn")
+
+    monkeypatch.setattr(Planner, "plan", fault)
+    world = World(77, tuning=tuning(), calm=True)
+    said: list[Any] = []
+
+    async def look(world: World) -> None:
+        await asyncio.sleep(40)
+        service = world.leader().service
+        assert service is not None and service.reign is not None
+        said.append((service.reign.term.number, service.status()["ahead"], service.forecast()["broken"]))
+
+    world.spawn_later(look)
+    world.play()
+    check(world)
+    assert said == [(1, ["stopped: ZeroDivisionError: drawn"], "ZeroDivisionError: drawn")]
