--- a/roseweir/forecast/ahead.py
+++ b/roseweir/forecast/ahead.py
@@ -19,11 +19,10 @@
 from roseweir.placement.plan import suits
 from roseweir.submissions.jobs import ARRAY, JobSpec, MachineType
 
-# Boots of a type that have been seen are trusted by their late quantile, if there are so many; else the
-# protocol's word is taken, that most are up within 1.5 times the catalog's figure.
-LATE, LATE_ENOUGH, LATE_UNSEEN = 0.9, 5, 1.5
-# Image rates differ by a third.
-SLOW_FETCH = 4 / 3
+# Boots and fetches of a type that have been seen are trusted by their late quantile, if there are so many; else the
+# protocol's word is taken: most machines are up within 1.5 times the catalog's figure, and rates differ by a third.
+LATE, LATE_ENOUGH = 0.9, 5
+LATE_BOOT, SLOW_FETCH = 1.5, 4 / 3
 # An order goes out with the next second's decisions.
 DECIDED_S = 2.0
 
@@ -67,22 +66,25 @@
 
 
 def lead_s(
-    spec: JobSpec, image_gb: float, catalog: Mapping[str, MachineType], boots: Mapping[str, list[float]]
+    spec: JobSpec,
+    image_gb: float,
+    catalog: Mapping[str, MachineType],
+    boots: Mapping[str, list[float]],
+    fetches: Mapping[str, list[float]],
 ) -> float:
     """Seconds from an order until a machine is of use: a late boot, and a slow fetch, of the slowest type."""
     longest = 0.0
     for kind in catalog.values():
         if spec.fits(kind):
-            fetch = image_gb / max(kind.fetch_gb_per_s, 0.01) * SLOW_FETCH
-            longest = max(longest, kind.boot_s * late(boots.get(kind.name, [])) + fetch)
+            boot = kind.boot_s * late(boots.get(kind.name, []), LATE_BOOT)
+            fetch = image_gb / max(kind.fetch_gb_per_s, 0.01) * late(fetches.get(kind.name, []), SLOW_FETCH)
+            longest = max(longest, boot + fetch)
     return longest + DECIDED_S
 
 
-def late(boots: list[float]) -> float:
-    """A late quantile of boot times, as a multiple of the catalog's figure."""
-    if len(boots) < LATE_ENOUGH:
-        return LATE_UNSEEN
-    return sorted(boots)[ceil(LATE * len(boots)) - 1]
+def late(seen: list[float], unseen: float) -> float:
+    """A late quantile of times seen, as a multiple of the catalog's figure."""
+    return sorted(seen)[ceil(LATE * len(seen)) - 1] if len(seen) >= LATE_ENOUGH else unseen
 
 
 def plan_ahead(
--- a/roseweir/forecast/history.py
+++ b/roseweir/forecast/history.py
@@ -11,8 +11,9 @@
 
 import math
 from array import array
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from datetime import datetime
 from heapq import heappop, heappush
 from typing import Annotated, Any, NamedTuple
 
@@ -29,8 +30,8 @@
 GUEST_SERIES = 0.25
 # So many hours wait for the state service, should it be out; what is older is lost.
 UNWRITTEN = 24
-# How many late boots of a type are kept with the newest block.
-BOOTS_KEPT = 32
+# How many boots and fetches of a type are kept with the newest block.
+TIMES_KEPT = 32
 
 
 class Pool(NamedTuple):
@@ -79,6 +80,9 @@
     tasks: int
 
 
+Times = Mapping[str, Iterable[tuple[datetime, float]]]
+
+
 @dataclass(slots=True)
 class Series:
     """A ring of slots: the most at once in each, and unit-seconds in use."""
@@ -106,6 +110,7 @@
 
 NotNegative = Annotated[float, Meta(ge=0, le=1e15)]
 Name = Annotated[str, Meta(max_length=200)]
+Ratio = Annotated[float, Meta(ge=0, le=1e4)]
 
 
 class StoredSeries(msgspec.Struct, array_like=True):
@@ -123,7 +128,8 @@
     covered: list[NotNegative]
     pools: list[tuple[bool, list[Name] | None, Name | None, bool]]
     series: list[StoredSeries]
-    boots: dict[Name, list[Annotated[float, Meta(ge=0, le=1e4)]]] = {}
+    boots: dict[Name, list[Ratio]] = {}
+    fetches: dict[Name, list[Ratio]] = {}
 
 
 @dataclass(slots=True)
@@ -146,7 +152,10 @@
         self.mark = 0
         self.open: int | None = None
         self.newest = -1
+        # The last boots and image fetches by type of machine, as multiples of what the catalog says.
         self.boots: dict[str, list[float]] = {}
+        self.fetches: dict[str, list[float]] = {}
+        self._times_seen: dict[tuple[bool, str], datetime] = {}
         self._levels: dict[Key, float] = {}
         self._active: dict[str, _Active] = {}
         self._ends: list[tuple[float, str]] = []
@@ -367,8 +376,8 @@
             if size <= most_bytes:
                 return value
             if all(key == self._coarse(key) for key in counts):
-                # Four sums of an hour are what is left, and small; the boots may still be many.
-                value["boots"] = {}
+                # Four sums of an hour are what is left, and small; the times may still be many.
+                value["boots"] = value["fetches"] = {}
                 return value
             lightest = [key for key in counts if key != self._coarse(key)]
             lightest.sort(key=lambda k: sum(cell[0] for cell in counts[k].values()))
@@ -404,7 +413,8 @@
             "covered": [round(x) for x in block.covered],
             "pools": [[p.gpus, None if p.types is None else list(p.types), p.zone, p.spot] for p in pools],
             "series": rows,
-            "boots": {name: [_short(x) for x in late[-BOOTS_KEPT:]] for name, late in self.boots.items()},
+            "boots": {name: [_short(x) for x in taken] for name, taken in self.boots.items()},
+            "fetches": {name: [_short(x) for x in taken] for name, taken in self.fetches.items()},
         }
 
     def take(self, value: Any, version: int, now: float, key: str, key_of: Callable[[int], str]) -> None:
@@ -456,7 +466,18 @@
         if number >= current - 1:
             self.blocks[number] = block
         if number >= max(self.blocks, default=0):
-            self.boots = {name: list(late[-BOOTS_KEPT:]) for name, late in found.boots.items()}
+            self.boots = {name: list(taken[-TIMES_KEPT:]) for name, taken in found.boots.items()}
+            self.fetches = {name: list(taken[-TIMES_KEPT:]) for name, taken in found.fetches.items()}
+
+    def note_times(self, boots: Times, fetches: Times) -> None:
+        """The board keeps times for minutes; the late ones of weeks are wanted here."""
+        for kept, seen in ((self.boots, boots), (self.fetches, fetches)):
+            for name, times in seen.items():
+                last = self._times_seen.get((kept is self.boots, name))
+                new = [(at, taken) for at, taken in times if last is None or at > last]
+                if new:
+                    self._times_seen[kept is self.boots, name] = new[-1][0]
+                    kept[name] = [*kept.get(name, []), *(min(1e4, taken) for _, taken in new)][-TIMES_KEPT:]
 
     def dirty(self) -> Iterable[Block]:
         return [block for _, block in sorted(self.blocks.items()) if block.dirty]
--- a/roseweir/forecast/planner.py
+++ b/roseweir/forecast/planner.py
@@ -7,7 +7,7 @@
 from roseweir.clock import ZERO
 from roseweir.cloud.plan import Offer, Want, time_left, units
 from roseweir.forecast.ahead import Ahead, lead_s, plan_ahead, sample_job
-from roseweir.forecast.history import BOOTS_KEPT, Demand, History, Key, Pool, Shape
+from roseweir.forecast.history import Demand, History, Key, Pool, Shape
 from roseweir.forecast.predict import Forecast, Need, guest_teams
 from roseweir.forecast.settings import AheadSettings
 from roseweir.placement.board import Board
@@ -35,7 +35,6 @@
         self.needs: list[Need] = []
         self.ahead = Ahead()
         self._looked = -math.inf
-        self._boots_seen: dict[str, datetime] = {}
         self._refusals: list[float] = []
 
     def demand_of(self, run: JobRun, now: float) -> Demand:
@@ -61,17 +60,6 @@
         types = None if set(fitting) >= set(possible) else tuple(sorted(fitting))
         return Pool(spec.gpus > 0, types, spec.zone, spec.spot)
 
-    def note_boots(self) -> None:
-        """The board keeps boots for minutes; the late ones of weeks are wanted here."""
-        for name, boots in self.board.boots.items():
-            seen = self._boots_seen.get(name)
-            new = [(at, taken) for at, taken in boots if seen is None or at > seen]
-            if new:
-                self._boots_seen[name] = new[-1][0]
-                kept = self.history.boots.setdefault(name, [])
-                kept += [taken for _, taken in new]
-                del kept[:-BOOTS_KEPT]
-
     def leads(self, now: float) -> dict[Pool, float]:
         """How long before it is needed a machine has to be ordered, by pool."""
         self._refusals = [at for at in self._refusals if now - at < REFUSED_FOR_S]
@@ -79,13 +67,15 @@
         found: dict[Pool, float] = {}
         for pool, shape in self.forecast.shapes().items():
             spec = sample_job(Need(pool, shape, 0.0, now, ""))
-            found[pool] = lead_s(spec, shape.image_gb, self.board.catalog, self.history.boots) + extra
+            found[pool] = (
+                lead_s(spec, shape.image_gb, self.board.catalog, self.history.boots, self.history.fetches) + extra
+            )
         return found
 
     def plan(self, wants: list[Want], refused: dict[Offer, datetime], wall: float, now: datetime) -> Ahead:
         """What joins the second's rentals. `wall`: seconds since 1970; `now`: the steady clock."""
         self.history.roll(wall)
-        self.note_boots()
+        self.history.note_times(self.board.boots, self.board.fetches)
         if wall - self._looked >= LOOK_S or wall < self._looked:
             self._looked = wall
             self.needs = self.source(wall, self.leads(wall))
--- a/roseweir/forecast/tools/simulate.py
+++ b/roseweir/forecast/tools/simulate.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime
@@ -25,7 +25,7 @@
 from roseweir.forecast.tools.load import Arrival
 from roseweir.forecast.tools.site import Site
 from roseweir.limits.rules import renew_class_limits, renew_fetch_limits
-from roseweir.placement.board import Board
+from roseweir.placement.board import BOOTS_KEPT, Board
 from roseweir.placement.model import JobRun, Machine, Phase, Placement
 from roseweir.placement.plan import Pass, plan
 from roseweir.settings import Tuning
@@ -37,6 +37,8 @@
 LIMITS_S = 1.0
 # Boots, as multiples of the catalog's figure: mostly within these, a few several times as long.
 BOOT_RANGE, BOOT_SLOW, BOOT_SLOW_SHARE = (0.6, 1.5), 3.0, 0.03
+# Images come a third faster or slower than the catalog's rate.
+FETCH_RANGE = (0.75, 1.5)
 RUN_SPREAD = 0.25
 LEAST_CHARGED_S = 60.0
 
@@ -286,7 +288,11 @@
             self._count_idle(machine.name, at)
         key = (machine.name, spec.image)
         if spec.image and not (spec.image in machine.images and key in self._images):
-            fetch = spec.image_gb / max(machine.type.fetch_gb_per_s, 0.01)
+            draws = np.random.default_rng([self.seed, 3, int(machine.name[2:]), len(machine.images)])
+            factor = float(draws.uniform(*FETCH_RANGE))
+            fetch = spec.image_gb / max(machine.type.fetch_gb_per_s, 0.01) * factor
+            times = self.board.fetches.setdefault(machine.type.name, deque(maxlen=BOOTS_KEPT))
+            times.append((self._steady(at + fetch), factor))
             self._images[key] = max(self._images.get(key, 0.0), at + fetch)
             machine.keep_image(spec.image, spec.image_gb)
         begins = max(at, self._images.get(key, at))
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -81,6 +81,8 @@
         self.talking_since: dict[str, datetime] = {}
         # How long machines of a type took to come up lately, as a multiple of the catalog's figure.
         self.boots: dict[str, deque[tuple[datetime, float]]] = {}
+        # How long images took to come, as a multiple of what the catalog's rate says, by type of machine.
+        self.fetches: dict[str, deque[tuple[datetime, float]]] = {}
         self._attempts = 0
         # What the recorder has to write, and what the planner should look at again.
         self.planned: list[Placement] = []
@@ -379,6 +381,10 @@
             log.debug("%s on %s is %s", task.task, machine.name, task.state)
             if task.state == wire.RUNNING:
                 placement.running_since = now
+            if task.state == wire.FETCHING:
+                placement.fetching_since = now
+            elif placement.state == wire.FETCHING and placement.fetching_since is not None:
+                self._note_fetch(machine.type, spec, now - placement.fetching_since, now)
             placement.state = task.state
         if task.state != wire.FETCHING and spec.image:
             if spec.image not in machine.images:
@@ -387,6 +393,12 @@
         if placement.run.over and placement.halt_at is None:
             self.stop(placement, ZERO, now)
 
+    def _note_fetch(self, kind: MachineType, spec: JobSpec, taken: timedelta, now: datetime) -> None:
+        usual = spec.image_gb / max(kind.fetch_gb_per_s, 0.01)
+        if usual > 0:
+            kept = self.fetches.setdefault(kind.name, deque(maxlen=BOOTS_KEPT))
+            kept.append((now, taken.total_seconds() / usual))
+
     def _completed(self, key: tuple[str, int], now: datetime) -> None:
         run = self.jobs.get(key[0])
         if run is None or run.over or run.spec.kind == SERVICE or key[1] >= run.spec.tasks:
--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -34,6 +34,7 @@
     state: str = ""
     sent_seq: int = 0
     running_since: datetime | None = None
+    fetching_since: datetime | None = None
     halt_at: datetime | None = None
     halt_grace: timedelta = timedelta(0)
     serial: int = 0  # tells a gang's replacements from the tasks that they replace: the attempt is the same
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -10,13 +10,15 @@
 from roseweir.cloud.plan import surplus, wanted
 from roseweir.forecast.ahead import late, lead_s, plan_ahead, sample_job
 from roseweir.forecast.history import Pool, Shape
+from roseweir.forecast.planner import Planner
 from roseweir.forecast.predict import Need, quantile
 from roseweir.forecast.settings import AheadSettings, Calendar, Event
 from roseweir.placement.model import Machine
 from roseweir.placement.plan import Pass, plan
 from roseweir.settings import SettingsError, Tuning, load_tuning
+from roseweir.workers.messages import TaskReport
 from tests.samples import spec as job
-from tests.test_placement import CPU, GPU, NOW, new_board
+from tests.test_placement import CPU, GPU, NOW, Hand, new_board, start
 from tests.weeks import CPUS, TORONTO, Weeks, demand
 
 FIRST = "2026-04-06"  # a Monday; four weeks from here end on Sunday, 3 May
@@ -232,13 +234,30 @@
         assert any(sample_job(n).spot or not want.spot for n in needs)
 
 
-def test_orders_go_out_earlier_where_boots_are_late_and_images_large() -> None:
+def test_orders_go_out_earlier_where_boots_and_fetches_are_late_and_images_large() -> None:
     spec = sample_job(need(1.0))
-    usual = lead_s(spec, 0.0, {"cpu": CPU}, {})
-    assert lead_s(spec, 30.0, {"cpu": CPU}, {}) == pytest.approx(usual + 40.0)
-    boots = [1.0] * 17 + [3.0, 3.0, 4.0]
-    assert late(boots) == 3.0 and late([9.0] * 4) == 1.5
-    assert lead_s(spec, 0.0, {"cpu": CPU}, {"cpu": boots}) == pytest.approx(usual + CPU.boot_s * 1.5)
+    usual = lead_s(spec, 0.0, {"cpu": CPU}, {}, {})
+    assert lead_s(spec, 30.0, {"cpu": CPU}, {}, {}) == pytest.approx(usual + 40.0)
+    times = [1.0] * 17 + [3.0, 3.0, 4.0]
+    assert late(times, 1.5) == 3.0 and late([9.0] * 4, 1.5) == 1.5
+    assert lead_s(spec, 0.0, {"cpu": CPU}, {"cpu": times}, {}) == pytest.approx(usual + CPU.boot_s * 1.5)
+    assert lead_s(spec, 30.0, {"cpu": CPU}, {}, {"cpu": times}) == pytest.approx(usual + 90.0)
+
+
+def test_fetches_are_learned_from_reports_and_kept_with_the_history() -> None:
+    board = new_board()
+    hand = Hand(board, "i-1")
+    hand.report(NOW)
+    board.add_job(job(1, image="img", image_gb=6.0), 1)
+    start(board, NOW, hand)
+    key = next(iter(hand.tasks))
+    for state, second in (("pulling", 1.0), ("running", 10.0)):
+        hand.tasks[key] = TaskReport(*key, state)
+        hand.report(NOW + seconds(second))
+    planner = Planner(AheadSettings(), board)
+    for _ in range(2):
+        planner.history.note_times(board.boots, board.fetches)
+    assert planner.history.fetches == {"cpu": [pytest.approx(9.0 / 6.0)]}
 
 
 def test_refusals_move_orders_ahead_for_a_while() -> None:
