--- a/roseweir/forecast/tools/compare.py
+++ b/roseweir/forecast/tools/compare.py
@@ -96,14 +96,14 @@
 
         def known(now: float, leads: dict[Pool, float]) -> list[Need]:
             """What will be asked for until an order of now is of use."""
-            shapes = forecast.shapes()
-            most: dict[Pool, float] = {}
-            for pool, shape in shapes.items():
+            needs: list[Need] = []
+            for pool, shape in forecast.shapes().items():
                 last = history.slot_of(now + leads.get(pool, history.slot_s))
                 slots = range(history.slot_of(now), last + 1)
-                most[pool] = max(peaks.get(slot, {}).get(pool, 0.0) for slot in slots)
-                del shape
-            return [Need(p, shapes[p], units, now, "known") for p, units in most.items() if units > 0]
+                units = max(peaks.get(slot, {}).get(pool, 0.0) for slot in slots)
+                if units > 0:
+                    needs.append(Need(pool, shape, units, now, "known"))
+            return needs
 
         highest: dict[Pool, float] = {}
         for pools in peaks.values():
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -45,6 +45,9 @@
     def __init__(self, settings: Settings, tuning: Tuning, connect: Connect = connect) -> None:
         self.settings = settings
         self.tuning = tuning
+        if tuning.ahead is not None:
+            # Now, and not as this node takes over: it takes a tenth of a second.
+            import roseweir.forecast.desk  # noqa: F401
         self._connect = connect
         self.state = StateClient(settings.endpoints.state, settings.params.state, connect)
         self.cloud = CloudClient(settings.endpoints.cloud, settings.params.cloud, connect)
