Drains: account, steps, pool, reasons, their record and commands; the world's own account of them

Machines are emptied in steps within a budget of disruption for each team, replaced, and the intention outlives any leader. The simulated world went another way in each process where sets of its routines were ordered by address: crashes cancelled them in that order; they are kept in the order they came now.

--- a/roseweir/cli.py
+++ b/roseweir/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `roseweir serve`, `check-config`, `limits`, `status`, `forecast`."""
+"""The command line: `roseweir serve`, `check-config`, `limits`, `status`, `forecast`, `drain`."""
 
 import argparse
 import asyncio
@@ -11,6 +11,7 @@
 from typing import Any
 
 from roseweir import __version__
+from roseweir.drain import cli as drain
 from roseweir.forecast import cli as forecast
 from roseweir.forms import SettingsError
 from roseweir.settings import Settings, load_settings
@@ -22,7 +23,7 @@
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    args = _parser().parse_args(argv)
+    args = _parser().parse_args(drain.named_first(sys.argv[1:] if argv is None else argv))
     try:
         result: int = args.run(args)
         return result
@@ -65,6 +66,7 @@
     status = commands.add_parser("status", help="show what a controller knows")
     question(status, "status")
     status.add_argument("--job", metavar="ID", help="what an unfinished job waits for; ask the leader")
+    drain.add_commands(commands)
     forecast.add_commands(commands, lambda ask: question(ask, "forecast"))
     return parser
 
@@ -103,6 +105,8 @@
         f"{settings.name}: {len(settings.peers)} peers, {len(settings.params.teams)} teams, "
         f"{len(settings.params.objectives)} objectives, {len(tuning.class_limits)} class limits"
         + (", renting ahead" if tuning.ahead is not None else "")
+        + (f", {len(tuning.drain.budgets)} budgets of disruption" if tuning.drain is not None else "")
+        + (", replaces machines by itself" if tuning.drain is not None and tuning.drain.own is not None else "")
     )
     return 0
 
--- a/roseweir/cloud/desk.py
+++ b/roseweir/cloud/desk.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Iterable
 from datetime import datetime, timedelta
 
 from roseweir import clock
@@ -39,13 +39,14 @@
         board: Board,
         may_act: Callable[[], bool],
         connect: Connect,
-        ahead: PlanAhead | None = None,
+        ahead: Iterable[PlanAhead] = (),
     ) -> None:
         self._connect = connect
         self.cloud = cloud
         self.board = board
         self._may_act = may_act  # another may lead otherwise, and machines that left us report to it
-        self._ahead = ahead
+        self._ahead = list(ahead)
+        self.list_read = NEVER  # when it was last read
         self.last_pass = Pass()
         self.refused: dict[Offer, datetime] = {}
         self._requests = 0
@@ -78,7 +79,9 @@
         lag = self.board.settings.params.cloud.list_lag
         while True:
             try:
+                asked = steady()
                 self._learn(await self.cloud.machines(), steady())
+                self.list_read = asked
             except (Trouble, Unreachable, NoCapacity) as e:
                 log.info("machine list not read: %s", e)
             await pause(max(seconds(2), lag / 2))
@@ -130,9 +133,10 @@
             if exhausted:
                 self.board.spill_until = now + SPILL
             kept: dict[str, str] = {}
-            if self._ahead is not None:
-                more, kept = self._ahead(wants, self.refused, now)
+            for plan_ahead in self._ahead:
+                more, keep = plan_ahead(wants, self.refused, now)
                 wants += more
+                kept |= keep
             for want in wants:
                 offer = (want.type_name, want.zone, want.spot)
                 if offer not in self._renting and len(self._renting) < 6:
@@ -185,10 +189,12 @@
                 if len(names) < want.count:
                     self.refused[offer] = steady() + REFUSED
                 self.board.obtained.add(offer)
-                kind = " (spot)" * offer[2] + " ahead of demand" * want.ahead
+                kind = " (spot)" * offer[2] + " ahead of demand" * want.ahead + " for one that is drained" * want.spare
                 log.info("rented %d of %d %s in %s%s", len(names), want.count, *offer[:2], kind)
                 for name in names:
                     self._expect(name, offer, asked)
+                    if want.spare and name in self.board.machines:
+                        self.board.machines[name].spare = True
                 return
         finally:
             self._renting.discard(offer)
--- a/roseweir/cloud/plan.py
+++ b/roseweir/cloud/plan.py
@@ -47,6 +47,7 @@
     spot: bool
     count: int
     ahead: bool = False  # of demand that is only expected
+    spare: bool = False  # to take the place of one that is drained
 
 
 def units(spec: JobSpec) -> float:
@@ -140,7 +141,12 @@
     """Machines that run, or should be up in time."""
     slowness = _slowness(board, now)
     for machine in board.machines.values():
-        if machine.leaving or machine.recall_at is not None or machine.sick_until > now:
+        if (
+            machine.leaving
+            or machine.recall_at is not None
+            or machine.sick_until > now
+            or machine.name in board.drained
+        ):
             continue
         if machine.booting and now - machine.rented_at > machine.type.boot * BOOT_LATE * slowness[machine.type.name]:
             continue
--- /dev/null
+++ b/roseweir/drain/cli.py
@@ -0,0 +1,229 @@
+"""`roseweir drain NAME`, `drain status` and `drain stop`."""
+
+import argparse
+import asyncio
+import sys
+import time
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from typing import Any
+
+from roseweir.drain.model import RESERVED
+from roseweir.forms import SettingsError
+
+PATIENCE = timedelta(seconds=6)
+# An operator's request is repeated under its name for so long: taken twice, it is the same drain.
+TRIES, TRY_GAP = 8, 1.0
+LOOK = 2.0
+
+
+def named_first(argv: Sequence[str]) -> list[str]:
+    """`drain NAME ...` is short for `drain start NAME ...`."""
+    words = list(argv)
+    if words[:1] == ["drain"] and len(words) > 1 and words[1] not in (*RESERVED, "-h", "--help"):
+        words.insert(1, "start")
+    return words
+
+
+def add_commands(commands: Any) -> None:
+    parser = commands.add_parser("drain", help="empty machines within budgets of disruption, and replace them")
+    verbs = parser.add_subparsers(required=True, metavar="NAME | status | stop")
+
+    def common(verb: argparse.ArgumentParser, run: Callable[[argparse.Namespace], int]) -> None:
+        verb.add_argument("--at", required=True, metavar="HOST:PORT", help="any controller's own address (`back`)")
+        verb.add_argument("--json", action="store_true", help="print the answer as it came")
+        verb.set_defaults(run=run)
+
+    start = verbs.add_parser("start", help="begin a drain; `drain NAME` is short for it")
+    start.add_argument("name", metavar="NAME", help="asked for again by the same name, it is the same drain")
+    start.add_argument("--machine", action="append", default=[], metavar="ID", help="this machine; may be repeated")
+    start.add_argument("--type", action="append", default=[], metavar="TYPE", help="machines of this type")
+    start.add_argument("--zone", action="append", default=[], metavar="ZONE", help="machines in this zone")
+    kind = start.add_mutually_exclusive_group()
+    kind.add_argument("--spot", action="store_true", help="spot machines only")
+    kind.add_argument("--ordinary", action="store_true", help="all but spot machines")
+    start.add_argument("--older", type=_span, metavar="S", help="machines rented longer ago than this many seconds")
+    start.add_argument("--all", action="store_true", help="all machines there are now: replace the fleet")
+    start.add_argument("--reason", default="", metavar="TEXT", help="why; shown in `drain status` and the log")
+    start.add_argument("--grace", type=_span, metavar="S", help="how long to wait for tasks that can't move or save")
+    start.add_argument("--deadline", type=_span, metavar="S", help="until when, in seconds (default: 3600)")
+    start.add_argument(
+        "--then", choices=("force", "give-up"), default="give-up", help="at the deadline (default: give-up)"
+    )
+    start.add_argument("--no-replace", action="store_true", help="rent nothing in their place")
+    start.add_argument("--wait", action="store_true", help="show progress until the end; exit 1 if some are left")
+    common(start, _start)
+    status = verbs.add_parser("status", help="how drains stand, what they wait for, and what each team's budget says")
+    status.add_argument("name", nargs="?", metavar="NAME", help="this one alone")
+    common(status, _status)
+    stop = verbs.add_parser("stop", help="end a drain where it stands; its machines may be used again")
+    stop.add_argument("name", metavar="NAME")
+    common(stop, _stop)
+
+
+def _span(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"{text} is no number of seconds") from None
+    if not 0 < value < 1e8:
+        raise argparse.ArgumentTypeError(f"{text}: must be above 0")
+    return value
+
+
+def _start(args: argparse.Namespace) -> int:
+    chosen = args.machine or args.type or args.zone or args.spot or args.ordinary or args.older
+    if bool(chosen) == args.all:
+        raise SettingsError("drain: name machines, a type, a zone, a kind or an age; or say --all")
+    ask = {
+        "name": args.name,
+        "reason": args.reason,
+        "machines": args.machine,
+        "types": args.type,
+        "zones": args.zone,
+        "spot": True if args.spot else False if args.ordinary else None,
+        "older_s": args.older,
+        "grace_s": args.grace,
+        "deadline_s": args.deadline,
+        "force": args.then == "force",
+        "replace": not args.no_replace,
+    }
+    answer = _post(args.at, {"verb": "start", "ask": ask})
+    if args.json:
+        _print_json(answer)
+    else:
+        _print_drain(answer["drain"])
+    return _watch(args.at, args.name) if args.wait else 0
+
+
+def _status(args: argparse.Namespace) -> int:
+    answer = _post(args.at, {"verb": "status"})
+    if args.name is not None:
+        rows = [row for row in answer["drains"] + answer["ended"] if row["name"] == args.name]
+        if not rows:
+            raise SettingsError(f"no drain is called {args.name}")
+        answer = answer | {"drains": rows, "ended": []}
+    if args.json:
+        _print_json(answer)
+    else:
+        _print_all(answer)
+    return 0
+
+
+def _stop(args: argparse.Namespace) -> int:
+    answer = _post(args.at, {"verb": "stop", "name": args.name})
+    if args.json:
+        _print_json(answer)
+    else:
+        _print_drain(answer["drain"])
+    return 0
+
+
+class NoAnswer(Exception):
+    pass
+
+
+def _post(at: str, order: dict[str, Any]) -> dict[str, Any]:
+    """The answer; SettingsError for what is refused, SystemExit 1 if nobody answers."""
+    from roseweir.http import Client, Unreachable
+
+    host, _, port = at.rpartition(":")
+    if not host or not port.isdigit():
+        raise SettingsError(f"--at: `{at}` is not HOST:PORT")
+
+    async def ask() -> Any:
+        return await Client(at, pool=0).request("POST", "/drains", order, patience=PATIENCE)
+
+    why = ""
+    for number in range(TRIES):
+        if number:
+            time.sleep(TRY_GAP)
+        try:
+            reply = asyncio.run(ask())
+            answer: dict[str, Any] = reply.json()
+        except (Unreachable, ValueError) as e:
+            why = f"no answer: {e}"
+            continue
+        if reply.status in (200, 201):
+            return answer
+        why = str(answer.get("error", reply.status))
+        if reply.status == 400:
+            raise SettingsError(why)
+    print(f"roseweir: {why}", file=sys.stderr)
+    raise SystemExit(1)
+
+
+def _watch(at: str, name: str) -> int:
+    """A line for each change until the drain has ended."""
+    said = ""
+    while True:
+        answer = _post(at, {"verb": "status"})
+        row = next((r for r in answer["drains"] + answer["ended"] if r["name"] == name), None)
+        if row is None:
+            print(f"roseweir: {name} has ended long ago", file=sys.stderr)
+            return 1
+        line = f"{row['machines_gone']}/{row['machines_chosen']} gone, {_steps(row)}"
+        if row["waits_for"]:
+            line += f"; waits for {row['waits_for']}"
+        if row["expected_end_in_s"] is not None:
+            line += f"; about {row['expected_end_in_s']:.0f} s more"
+        if line != said:
+            said = line
+            print(line, flush=True)
+        if row["ended_s_ago"] is not None:
+            print(row["state"])
+            return 0 if row["state"] == "done" else 1
+        time.sleep(LOOK)
+
+
+def _steps(row: dict[str, Any]) -> str:
+    return ", ".join(f"{count} {step}" for step, count in row["machines"].items()) or "none left"
+
+
+def _print_json(answer: dict[str, Any]) -> None:
+    import orjson
+
+    print(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
+
+
+def _print_drain(row: dict[str, Any]) -> None:
+    print(f"{row['name']:20} {row['state']}" + (f" ({row['reason']})" if row["reason"] else ""))
+    print(f"  machines           {row['machines_gone']} of {row['machines_chosen']} gone, {_steps(row)}")
+    if row["waits_for"]:
+        since = "" if row["no_step_for_s"] is None else f", no step for {row['no_step_for_s']:.0f} s"
+        print(f"  waits for          {row['waits_for']}{since}")
+    if row["deadline_in_s"] is not None:
+        end = "not known yet" if row["expected_end_in_s"] is None else f"in about {row['expected_end_in_s']:.0f} s"
+        print(f"  expected end       {end}; deadline in {row['deadline_in_s']:.0f} s, then {row['then']}")
+
+
+def _print_all(answer: dict[str, Any]) -> None:
+    if not answer["on"]:
+        print("no drains, and nothing is replaced by itself")
+        return
+    for row in answer["drains"]:
+        _print_drain(row)
+    for row in answer["ended"]:
+        print(f"{row['name']:20} {row['state']}, {row['ended_s_ago']:.0f} s ago")
+    own = answer["own_reasons"]
+    if own is not None:
+        print(
+            f"replaced today       {own['replaced_today']} of {own['machines_a_day']}, "
+            f"{own['spent_today']} of {own['money_a_day']} spent"
+        )
+        for reason, steps in own["machines"].items():
+            print(f"  {reason:18} " + ", ".join(f"{count} {step}" for step, count in steps.items()))
+        for brake in own["brakes"]:
+            print(f"  {brake['reason']} stopped for {brake['type']}, {brake['lifts_in_s']} s more: {brake['why']}")
+    for row in answer["types"]:
+        print(
+            f"type {row['type']:15} {row['missing']} missing of {row['may_be_missing']}, "
+            f"{row['ready_to_replace']} ready{', sold out' if row['sold_out'] else ''}"
+        )
+    for row in answer["budgets"]:
+        by = ", ".join(f"{count} {cause}" for cause, count in row["by"].items())
+        of = f" {row['class']}" if row["class"] else ""
+        print(
+            f"team {row['team']}{of}: {row['down']} of {row['may_be_down']} tasks down, {row['running']} run"
+            + (f" ({by})" if by else "")
+        )
--- /dev/null
+++ b/roseweir/drain/settings.py
@@ -0,0 +1,201 @@
+"""The operators' forms `(disruption ...)` and `(replacement ...)`."""
+
+from datetime import date, datetime, time, timedelta
+from typing import Any
+
+import msgspec
+
+from roseweir.forecast.settings import Calendar
+from roseweir.forms import SettingsError, read_form, read_number, read_text
+
+
+class Budget(msgspec.Struct, frozen=True):
+    """How much of a team's (or a class of its) may be down at once, and how often. Each team has its own, always."""
+
+    team: str | None = None
+    job_class: str | None = None
+    share: float | None = None  # of the tasks that run or are down
+    tasks: int | None = None
+    gangs: int | None = None  # whole ones
+    per_minute: int | None = None
+    per_hour: int | None = None
+    replicas_least: int | None = None  # that stay up of each service
+
+    @property
+    def is_nothing(self) -> bool:
+        """It never lets anything be stopped."""
+        return 0 in (self.share, self.tasks, self.per_minute, self.per_hour)
+
+    @property
+    def name(self) -> str:
+        return " ".join(filter(None, (self.team and f"team {self.team}", self.job_class and f"class {self.job_class}")))
+
+
+DEFAULT_BUDGET = Budget(share=0.1)
+
+
+class Quiet(msgspec.Struct, frozen=True):
+    """Hours of every day, in local time, in which nothing is stopped; they may pass midnight."""
+
+    begins: time
+    ends: time
+
+    def covers(self, at: time) -> bool:
+        if self.begins <= self.ends:
+            return self.begins <= at < self.ends
+        return at >= self.begins or at < self.ends
+
+
+class OwnReasons(msgspec.Struct):
+    """For what the service replaces machines by itself; None: it does not."""
+
+    older: timedelta | None = None
+    slow: float | None = None  # times as slow as its kind
+    failing: int | None = None  # of so many jobs' tasks in an hour
+    lapsing: int | None = None  # leases lost in an hour
+    spot_life: float | None = None  # of how long spot machines of its kind usually lived
+    machines_a_day: int = 200
+    money_a_day: float = 200.0
+    brake_share: float = 0.25  # of a kind called bad: then the kind is the reason, or a job
+    brake: timedelta = timedelta(hours=1)
+    brake_most: timedelta = timedelta(hours=24)
+
+
+class DrainSettings(msgspec.Struct):
+    """docs/draining.md gives the reason for each default."""
+
+    hole: float = 0.1  # of a type's machines that may be missing at once, and the size of a wave
+    soon: timedelta = timedelta(seconds=60)  # what should end by then is waited for
+    grace: timedelta = timedelta(minutes=5)  # what cannot move or save is waited for as long
+    deadline: timedelta = timedelta(hours=1)  # of a drain that names none
+    budgets: list[Budget] = msgspec.field(default_factory=list)
+    quiet: list[Quiet] = msgspec.field(default_factory=list)
+    own: OwnReasons | None = None
+    calendar: Calendar = msgspec.field(default_factory=Calendar)
+
+    def row(self, team: str, job_class: str) -> int:
+        """The budget that a class of a team's is under: the one that says the most; -1: the default."""
+        best, found = -1, -1
+        for number, budget in enumerate(self.budgets):
+            if budget.team in (None, team) and budget.job_class in (None, job_class):
+                rank = (budget.team is not None) * 2 + (budget.job_class is not None)
+                if rank > best:
+                    best, found = rank, number
+        return found
+
+    def budget(self, row: int) -> Budget:
+        return self.budgets[row] if row >= 0 else DEFAULT_BUDGET
+
+    def is_quiet(self, wall: datetime) -> bool:
+        """Known busy events and the daily hours; a holiday has none of these."""
+        local = wall.astimezone(self.calendar.zone)
+        event = self.calendar.event_at(local)
+        if event is not None:
+            return event.factor > 1
+        if self.calendar.is_holiday(date(local.year, local.month, local.day)):
+            return False
+        return any(quiet.covers(local.time()) for quiet in self.quiet)
+
+
+_SPANS = {"soon", "grace", "deadline"}
+_BUDGET_COUNTS = {"tasks", "gangs", "per-minute", "per-hour", "replicas-least"}
+_BUDGET_TEXTS = {"team": "team", "class": "job_class"}
+_REASON_SPANS = {"replace-older": "older", "brake": "brake", "brake-most": "brake_most"}
+_REASON_COUNTS = {"replace-failing": "failing", "replace-lapsing": "lapsing", "machines-a-day": "machines_a_day"}
+_REASON_NUMBERS = {"replace-slow": "slow", "money-a-day": "money_a_day"}
+_REASON_SHARES = {"replace-spot": "spot_life", "brake-share": "brake_share"}
+
+
+def parse_disruption(found: DrainSettings, entries: list[Any]) -> None:
+    """Read the entries of `(disruption (hole 0.1) (soon 60) ... (budget ...) (quiet ...))`."""
+    for entry in entries:
+        name, args = read_form(entry)
+        if name == "hole":
+            found.hole = _share(name, args)
+            if found.hole == 0:
+                raise SettingsError("`hole` must be above 0")
+        elif name in _SPANS:
+            setattr(found, name, timedelta(seconds=read_number(name, args, above_zero=name == "deadline")))
+        elif name == "budget":
+            found.budgets.append(_budget(args))
+        elif name == "quiet":
+            found.quiet.append(_quiet(args))
+        else:
+            raise SettingsError(f"unknown name `{name}` in `disruption`")
+    for number, budget in enumerate(found.budgets):
+        if any((b.team, b.job_class) == (budget.team, budget.job_class) for b in found.budgets[:number]):
+            raise SettingsError(f"two `budget` forms for the same {budget.name or 'default'}")
+
+
+def parse_replacement(entries: list[Any]) -> OwnReasons:
+    """Read the entries of `(replacement (replace-older 86400) ...)`."""
+    found = OwnReasons()
+    for entry in entries:
+        name, args = read_form(entry)
+        value: object
+        if name in _REASON_SPANS:
+            field, value = _REASON_SPANS[name], timedelta(seconds=read_number(name, args, above_zero=True))
+        elif name in _REASON_COUNTS:
+            field, value = _REASON_COUNTS[name], _count(name, args, above_zero=name != "machines-a-day")
+        elif name in _REASON_NUMBERS:
+            field, value = _REASON_NUMBERS[name], read_number(name, args, above_zero=name == "replace-slow")
+            if name == "replace-slow" and value <= 1:
+                raise SettingsError("`replace-slow` must be above 1: times as slow as its kind")
+        elif name in _REASON_SHARES:
+            field, value = _REASON_SHARES[name], _share(name, args)
+        else:
+            raise SettingsError(f"unknown name `{name}` in `replacement`")
+        setattr(found, field, value)
+    return found
+
+
+def _share(name: str, args: list[Any]) -> float:
+    value = read_number(name, args)
+    if value > 1:
+        raise SettingsError(f"`{name}` must be at most 1")
+    return value
+
+
+def _count(name: str, args: list[Any], above_zero: bool = False) -> int:
+    value = read_number(name, args, above_zero)
+    if value != int(value):
+        raise SettingsError(f"`{name}` must be a whole number")
+    return int(value)
+
+
+def _budget(entries: list[Any]) -> Budget:
+    fields: dict[str, Any] = {}
+    for entry in entries:
+        name, args = read_form(entry)
+        if name in _BUDGET_TEXTS:
+            fields[_BUDGET_TEXTS[name]] = read_text(name, args)
+        elif name == "share":
+            fields["share"] = _share(name, args)
+        elif name in _BUDGET_COUNTS:
+            fields[name.replace("-", "_")] = _count(name, args)
+        else:
+            raise SettingsError(f"unknown name `{name}` in `budget`")
+    if fields.keys() <= {"team", "job_class"}:
+        raise SettingsError("a `budget` needs `share`, `tasks` or another bound")
+    if "share" not in fields and "tasks" not in fields:
+        # What is counted in gangs, replicas or a minute has the default share beside it.
+        fields["share"] = DEFAULT_BUDGET.share
+    return Budget(**fields)
+
+
+def _quiet(entries: list[Any]) -> Quiet:
+    times: dict[str, time] = {}
+    for entry in entries:
+        name, args = read_form(entry)
+        if name not in ("from", "to"):
+            raise SettingsError(f"unknown name `{name}` in `quiet`")
+        text = read_text(name, args)
+        try:
+            times[name] = time.fromisoformat(text)
+        except ValueError:
+            raise SettingsError(f"`{name}` in `quiet`: `{text}` is not a time like 18:00") from None
+        if times[name].tzinfo is not None:
+            raise SettingsError(f"`{name}` in `quiet` is local time and takes no offset")
+    if len(times) < 2 or times["from"] == times["to"]:
+        raise SettingsError("a `quiet` needs `from` and `to`, which differ")
+    return Quiet(times["from"], times["to"])
--- /dev/null
+++ b/roseweir/drain/store.py
@@ -0,0 +1,206 @@
+"""Drains in the state service, in a bounded number of keys, all guarded by the leader's key and their own versions.
+
+- `drain/ask/NAME`: an intention, `ACTIVE_MOST` that go on and `ENDED_KEPT` that have ended.
+- `drain/steps/NN`: machines that were begun with, by name.
+- `drain/account/NN`: how far each job with something down had come, and counts of the last hour where a budget needs
+  them.
+- `drain/pool`: gaps by type, and the day's counts and brakes of own reasons.
+
+A write without an answer may have run or may run yet: its key's version is read before the next write of it, and its
+guard lets one of the tries count.
+"""
+
+import logging
+from typing import Any
+
+import msgspec
+import orjson
+
+from roseweir.drain.model import Drain
+from roseweir.drain.pool import Cordon
+from roseweir.http import Unreachable
+from roseweir.leadership.messages import LEADER
+from roseweir.state import Conflict, Entry, StateClient, Trouble
+from roseweir.state.client import delete, put
+
+log = logging.getLogger(__name__)
+
+PREFIX = "drain/"
+ASK, STEPS, ACCOUNT, POOL = PREFIX + "ask/", PREFIX + "steps/", PREFIX + "account/", PREFIX + "pool"
+STEP_PAGES, ACCOUNT_PAGES = 16, 8
+FILL = 0.8
+TXN_BYTES = 48 * 1024
+
+
+class Deposed(Exception):
+    """Another leads."""
+
+
+class Full(Exception):
+    """What has to be recorded before a stop does not fit its keys."""
+
+
+class Found(msgspec.Struct):
+    """What earlier leaders left."""
+
+    drains: list[Drain] = []
+    cordons: dict[str, Cordon] = {}
+    reached: dict[str, int] = {}
+    windows: dict[str, list[list[int]]] = {}
+    gaps: dict[str, int] = {}
+    own: dict[str, Any] | None = None
+
+    @property
+    def is_empty(self) -> bool:
+        return not (any(not d.outcome for d in self.drains) or self.cordons or any(self.gaps.values()))
+
+
+class Store:
+    def __init__(self, state: StateClient, leader_version: int) -> None:
+        self.state = state
+        self.leader_version = leader_version
+        self.room = int(min(state.settings.value_kb * 1024, 8192) * FILL)
+        self.versions: dict[str, int] = {}
+        self._written: dict[str, bytes] = {}
+        self._unsure: set[str] = set()
+        self._page: dict[str, int] = {}  # machine: page of its step
+        self.writes = 0
+
+    # -- reading ------------------------------------------------------------------------------
+
+    async def read(self) -> list[Entry]:
+        entries, _ = await self.state.scan(PREFIX)
+        return entries
+
+    def use(self, entries: list[Entry]) -> Found:
+        """Raises Trouble if a key can't be read: a leader must not lead on without knowing what is drained."""
+        found = Found([], {}, {}, {}, {})
+        self.versions, self._written, self._page = {}, {}, {}
+        for entry in entries:
+            self.versions[entry.key] = entry.version
+            self._written[entry.key] = orjson.dumps(entry.value)
+            try:
+                self._use(found, entry)
+            except (msgspec.ValidationError, KeyError, TypeError, ValueError) as e:
+                raise Trouble(f"{entry.key} can't be read: {e!r}") from e
+        return found
+
+    def _use(self, found: Found, entry: Entry) -> None:
+        value = entry.value
+        if entry.key.startswith(ASK):
+            found.drains.append(msgspec.convert(value, Drain))
+        elif entry.key.startswith(STEPS):
+            for name, (drain, kind, zone, spot, since_ms, replace, matched) in value["machines"].items():
+                found.cordons[name] = Cordon(drain, kind, (kind, zone, spot), since_ms, replace, matched)
+                self._page[name] = int(entry.key.removeprefix(STEPS))
+        elif entry.key.startswith(ACCOUNT):
+            found.reached |= value["reached"]
+            found.windows |= value["windows"]
+        elif entry.key == POOL:
+            found.gaps = value["gaps"]
+            found.own = value["own"]
+
+    # -- writing ------------------------------------------------------------------------------
+
+    def steps(self, cordons: dict[str, Cordon]) -> dict[str, Any]:
+        """Values by key. A machine stays on its page; new ones go where there is room."""
+        self._page = {name: page for name, page in self._page.items() if name in cordons}
+        entries = {
+            name: [c.drain, c.kind, c.offer[1], c.offer[2], c.since_ms, c.replace, c.matched]
+            for name, c in cordons.items()
+        }
+        sizes = [0] * STEP_PAGES
+        pages: list[dict[str, Any]] = [{} for _ in range(STEP_PAGES)]
+        for name in sorted(cordons, key=lambda n: (n not in self._page, n)):
+            size = len(orjson.dumps(entries[name])) + len(name) + 8
+            page = self._page.get(name)
+            if page is None or sizes[page] + size > self.room:
+                page = next((n for n in range(STEP_PAGES) if sizes[n] + size <= self.room), None)
+                if page is None:
+                    raise Full("no room for more machines in the list of steps")
+            self._page[name] = page
+            sizes[page] += size
+            pages[page][name] = entries[name]
+        return {f"{STEPS}{n:02d}": {"machines": page} for n, page in enumerate(pages)}
+
+    def account(self, reached: dict[str, int], windows: dict[str, Any], needed: set[str]) -> dict[str, Any]:
+        """Values by key; Full if a job of `needed` has no room. What else has none is told by its tasks' indices."""
+        values: dict[str, Any] = {}
+        pages: list[dict[str, Any]] = [{"reached": {}, "windows": {}}]
+        size = 32
+        entries = [("windows", name, counts) for name, counts in windows.items()]
+        entries += [("reached", job, reached[job]) for job in sorted(reached, key=lambda j: j not in needed)]
+        for part, name, value in entries:
+            each = len(orjson.dumps(value)) + len(name) + 6
+            if size + each > self.room:
+                if len(pages) == ACCOUNT_PAGES:
+                    if name in needed:
+                        raise Full("no room for more jobs in the account")
+                    break
+                pages.append({"reached": {}, "windows": {}})
+                size = 32
+            pages[-1][part][name] = value
+            size += each
+        for n in range(ACCOUNT_PAGES):
+            values[f"{ACCOUNT}{n:02d}"] = pages[n] if n < len(pages) else {"reached": {}, "windows": {}}
+        return values
+
+    def changes(self, values: dict[str, Any]) -> dict[str, Any]:
+        """Those that differ from what is there; an empty one that is not there is no change."""
+        found: dict[str, Any] = {}
+        for key, value in values.items():
+            before = self._written.get(key)
+            empty = value is None or not any(value.values())
+            if key in self._unsure or (before is None and not empty) or (before and orjson.dumps(value) != before):
+                found[key] = value
+        return found
+
+    async def save(self, changes: dict[str, Any]) -> None:
+        """Write keys in their order, as few transactions as they fit. None deletes. Trouble, Unreachable or Deposed."""
+        most = self.state.settings.txn_ops
+        batch: dict[str, Any] = {}
+        size = 0
+        for key, value in changes.items():
+            if key in self._unsure:
+                entry = await self.state.get(key)
+                self.versions[key] = 0 if entry is None else entry.version
+                self._unsure.discard(key)
+            each = len(orjson.dumps(value)) + len(key) + 64
+            if batch and (size + each > TXN_BYTES or len(batch) >= most):
+                await self._write(batch)
+                batch, size = {}, 0
+            batch[key] = value
+            size += each
+        if batch:
+            await self._write(batch)
+
+    async def _write(self, batch: dict[str, Any]) -> None:
+        guards = [(LEADER, self.leader_version), *((key, self.versions.get(key, 0)) for key in batch)]
+        ops = [
+            put(key, value) if value is not None else delete(key)
+            for key, value in batch.items()
+            if value is not None or self.versions.get(key, 0)
+        ]
+        try:
+            revision = await self.state.txn(guards, ops)
+        except Conflict as e:
+            if LEADER in e.failed:
+                raise Deposed("the leader's key has changed") from e
+            self._unsure |= batch.keys()
+            raise Trouble(f"drains: record out of date: {', '.join(e.failed)}") from e
+        except (Trouble, Unreachable):
+            self._unsure |= batch.keys()
+            raise
+        self.writes += len(ops)
+        for key, value in batch.items():
+            if value is None:
+                self.versions.pop(key, None)
+                self._written.pop(key, None)
+            else:
+                self.versions[key] = revision
+                self._written[key] = orjson.dumps(value)
+
+
+def encode_drain(drain: Drain) -> dict[str, Any]:
+    value: dict[str, Any] = msgspec.to_builtins(drain)
+    return value
--- a/roseweir/forecast/settings.py
+++ b/roseweir/forecast/settings.py
@@ -2,7 +2,6 @@
 
 from datetime import UTC, date, datetime, timedelta, tzinfo
 from typing import Any
-from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
 
 import msgspec
 
@@ -32,7 +31,12 @@
     @property
     def zone(self) -> tzinfo:
         # A machine without a list of time zones still knows this one.
-        return UTC if self.time_zone == "UTC" else ZoneInfo(self.time_zone)
+        if self.time_zone == "UTC":
+            return UTC
+        # Loaded only where it is used: controllers have little memory.
+        from zoneinfo import ZoneInfo
+
+        return ZoneInfo(self.time_zone)
 
     def is_holiday(self, day: date) -> bool:
         return (day.year, day.month, day.day) in self.holidays or (None, day.month, day.day) in self.holidays
@@ -129,7 +133,7 @@
             found.time_zone = read_text(name, args)
             try:
                 _ = found.zone
-            except (ZoneInfoNotFoundError, ValueError, OSError):
+            except (KeyError, ValueError, OSError):  # a name that is not found is a KeyError
                 raise SettingsError(f"unknown time zone `{found.time_zone}` in `calendar`") from None
         elif name == "holiday":
             found.holidays |= {_holiday(read_text(name, [arg])) for arg in args}
--- a/roseweir/limits/rules.py
+++ b/roseweir/limits/rules.py
@@ -9,6 +9,10 @@
 from roseweir.submissions.jobs import GANG, JobSpec, MachineType
 
 
+def fetch_tag(zone: str) -> str:
+    return f"fetch:{zone}"
+
+
 def renew_fetch_limits(
     limits: Limits, machines: Iterable[tuple[str, MachineType]], tuning: LimitSettings, now: datetime
 ) -> None:
@@ -20,7 +24,7 @@
         capacity = rate * tuning.fetch_share * tuning.fetch_window.total_seconds()
         limit = limits.put(
             Limit(
-                tag=f"fetch:{zone}",
+                tag=fetch_tag(zone),
                 matches=_uncached_in(zone),
                 cost=lambda start: start.job.image_gb,
                 bucket=Bucket.full(now, capacity, tuning.fetch_window, tuning.fetch_burst_gb, tuning.fetch_draw_cap_gb),
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -15,6 +15,7 @@
 from roseweir.limits import Limits
 from roseweir.limits.rules import renew_restart_limit
 from roseweir.placement.model import JobRun, Machine, Phase, Placement, new_run
+from roseweir.placement.watch import Cause, Watcher
 from roseweir.settings import Settings
 from roseweir.submissions.jobs import ARRAY, GANG, SERVICE, Ended, JobSpec, MachineType
 from roseweir.tuning import Tuning
@@ -35,6 +36,8 @@
 SLOW_JOBS, SLOW_FACTOR, SLOW_TASKS, SLOW_PEERS = 2, 2.0, 3, 4
 # Boots that tell how long the next ones may take: so many, and for how long.
 BOOTS_KEPT, BOOTS_FOR = 20, timedelta(minutes=3)
+# Phases in which a machine may have heard of a task.
+STARTED = (Phase.SENT, Phase.SEEN, Phase.RECORDED)
 # By how much a worker's report may be later than two of its intervals: one that is with this leader, and one in
 # search of it, which gives up on an answer after 4 s and tries the next node a second later.
 ON_TIME, SEARCH = timedelta(seconds=0.75), timedelta(seconds=5)
@@ -108,6 +111,10 @@
         self.roster_changed = True
         # For jobs of which kind nobody could be stopped lately: for how many tasks, and when.
         self.barren: dict[tuple[object, ...], tuple[int, datetime]] = {}
+        # Machines that are being drained, and by which drain: nothing new starts on them.
+        self.drained: dict[str, str] = {}
+        # Who keeps account of tasks' ups and downs, if anybody does.
+        self.watcher: Watcher | None = None
         # Direct halts that should not wait for the next report: machine names.
         self.urgent: set[str] = set()
 
@@ -137,6 +144,8 @@
         if run is None or run.over:
             return
         run.over = ended.state
+        if self.watcher is not None:
+            self.watcher.over(run)
         self.roster_changed = True
         run.unsaved.clear()
         run.noted.clear()
@@ -169,6 +178,7 @@
         spec = run.spec
         assert index not in run.placed
         run.placed[index] = placement
+        run.placed_upto = max(run.placed_upto, index + 1)
         machine.placements[(spec.id, index)] = placement
         machine.changes += 1
         machine.free_cpus -= spec.cpus
@@ -210,11 +220,13 @@
             self.stop(placement, ZERO, now)
         return placement
 
-    def remove(self, placement: Placement, now: datetime) -> None:
-        """The task is proven gone from its machine."""
+    def remove(self, placement: Placement, now: datetime, cause: Cause = Cause.LOST) -> None:
+        """The task is proven gone from its machine. `cause`: why, if it was neither done nor told to stop."""
         run, machine, spec = placement.run, placement.machine, placement.run.spec
         if run.placed.get(placement.index) is not placement:
             return
+        if self.watcher is not None and placement.phase in STARTED and placement.halt_at is None:
+            self.watcher.gone(placement, cause, now)
         del run.placed[placement.index]
         del machine.placements[(spec.id, placement.index)]
         machine.changes += 1
@@ -248,11 +260,20 @@
             # The gang had started: the rest exits by itself, and all must be gone before it restarts.
             run.stopping = True
 
-    def stop(self, placement: Placement, grace: timedelta, now: datetime, urgent: bool = False) -> None:
+    def stop(
+        self,
+        placement: Placement,
+        grace: timedelta,
+        now: datetime,
+        urgent: bool = False,
+        cause: Cause = Cause.FAILED,
+    ) -> None:
         """Ask a task to go; one whose order never went out is taken off at once."""
         if placement.phase in (Phase.PLANNED, Phase.READY):
             self.remove(placement, now)
             return
+        if self.watcher is not None and placement.halt_at is None:
+            self.watcher.halted(placement, cause, now)
         if placement.halt_at is None or grace < placement.halt_grace:
             placement.halt_at = placement.halt_at or now
             placement.halt_grace = grace
@@ -260,7 +281,9 @@
         if urgent or placement.run.spec.kind == GANG:
             self.urgent.add(placement.machine.name)
 
-    def stop_gently(self, placement: Placement, now: datetime, urgent: bool = False) -> None:
+    def stop_gently(
+        self, placement: Placement, now: datetime, urgent: bool = False, cause: Cause = Cause.PREEMPTED
+    ) -> None:
         """Stop so that progress is kept where it can be. All mates of a gang are told together."""
         run = placement.run
         grace = seconds(run.spec.save_s + 1.0) if run.spec.checkpoint_s > 0 else ZERO
@@ -270,7 +293,7 @@
             grace += self.settings.params.workers.gang_peer
         for mate in mates:
             if mate.halt_at is None:
-                self.stop(mate, grace, now, urgent)
+                self.stop(mate, grace, now, urgent, cause)
 
     def lapse(self, machine: Machine, now: datetime, why: str) -> None:
         """Everything on the machine is proven gone."""
@@ -341,11 +364,15 @@
             for placement in list(machine.placements.values()):
                 if placement.phase in (Phase.SENT, Phase.SEEN):
                     self.remove(placement, now)
+            if self.watcher is not None and machine.session > 0:
+                self.watcher.lapsed(machine, now)
             machine.session = report.session
         machine.seq = report.seq
         if report.notice_s is not None:
             if machine.recall_at is None:
                 log.info("machine %s will be taken back in %.0f s", machine.name, report.notice_s)
+                if self.watcher is not None:
+                    self.watcher.recalled(machine, now)
             machine.recall_at = now + seconds(report.notice_s)
             self.changed = True
         machine.exits.clear()
@@ -423,6 +450,8 @@
             elif placement.state == wire.FETCHING and placement.fetching_since is not None:
                 self._note_fetch(machine.type, spec, now - placement.fetching_since, now)
             placement.state = task.state
+            if task.state == wire.RUNNING and placement.halt_at is None and self.watcher is not None:
+                self.watcher.runs(placement)
         if task.state != wire.FETCHING and spec.image:
             if spec.image not in machine.images:
                 self.dirty_machines.add(machine.name)
@@ -465,7 +494,7 @@
             self._failed(placement, now)
         elif task.why in (wire.NO_ROOM, wire.BUSY, wire.UNKNOWN):
             log.info("machine %s refused %s: %s", machine.name, task.task, task.why)
-        self.remove(placement, now)
+        self.remove(placement, now, Cause.FAILED)
         if spec.kind == GANG and run.placed and task.why in (wire.ERROR, wire.PEERS, wire.STOPPED, wire.ALONE):
             # The attempt has failed; what is left of it must go before the next one.
             run.stopping = True
@@ -483,6 +512,8 @@
 
     def _mark_done(self, run: JobRun, index: int) -> None:
         if not run.over and run.mark_done(index):
+            if self.watcher is not None:
+                self.watcher.done(run, index)
             run.unsaved.add(index)
             self.dirty_jobs.add(run.spec.id)
 
@@ -491,6 +522,8 @@
         if spec.kind != ARRAY or spec.estimate_s <= 0 or placement.running_since is None:
             return
         self._compare_machines(placement, now - placement.running_since, now)
+        if self.watcher is not None:
+            self.watcher.took(placement, now - placement.running_since)
         taken = (now - placement.running_since) / spec.estimate
         if 0.05 < taken < 20:
             old = self.ratios.get(spec.job_class, 1.0)
@@ -526,6 +559,8 @@
                     other.sick_until = NEVER
         else:
             machine.suspect_jobs.add(run.spec.id)
+            if self.watcher is not None:
+                self.watcher.failed(machine, run, now)
             machine.sick_until = max(machine.sick_until, now + PAUSED)
             proven = run.done_count > 0 and run.failures >= 2
             if (len(machine.suspect_jobs) >= SICK_JOBS or proven) and not machine.leaving:
@@ -609,7 +644,7 @@
                 continue
             spec = placement.run.spec
             if spec.checkpoint_s > 0 or placement.phase in (Phase.PLANNED, Phase.READY) or spec.kind == SERVICE:
-                self.stop_gently(placement, now)
+                self.stop_gently(placement, now, cause=Cause.NOTICE)
 
     def report(self) -> None:
         """Tell an operator how the work stands."""
--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -60,6 +60,7 @@
     done: bytearray
     done_count: int = 0
     next_fresh: int = 0
+    placed_upto: int = 0  # tasks from this one on were never placed: indices are handed out in ascending order
     returned: list[int] = field(default_factory=list)
     placed: dict[int, Placement] = field(default_factory=dict)
     # Indices whose completion is not yet in the state service: nobody may hear of it, no `clear`.
@@ -88,6 +89,7 @@
             return False
         self.done[index >> 3] |= 1 << (index & 7)
         self.done_count += 1
+        self.placed_upto = max(self.placed_upto, index + 1)
         return True
 
     @property
@@ -159,6 +161,7 @@
     rented_at: datetime = NEVER
     booting: bool = False
     rented: bool = False  # by a leader of this service, not found standing
+    spare: bool = False  # rented to take the place of one that is drained
     free_cpus: float = 0.0
     free_gpus: float = 0.0
     free_memory: float = 0.0
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -45,7 +45,12 @@
     return [
         m
         for m in board.machines.values()
-        if m.shown and not m.leaving and m.recall_at is None and m.sick_until <= now and board.is_heard(m, now)
+        if m.shown
+        and not m.leaving
+        and m.recall_at is None
+        and m.sick_until <= now
+        and m.name not in board.drained
+        and board.is_heard(m, now)
     ]
 
 
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -10,6 +10,7 @@
 from roseweir.clock import NEVER, SLEPT, pause, seconds, steady, within
 from roseweir.cloud.client import CloudClient
 from roseweir.cloud.desk import CloudDesk
+from roseweir.drain.desk import DrainDesk
 from roseweir.http import Connect, Unreachable
 from roseweir.leadership.leadership import Term
 from roseweir.limits.rules import renew_class_limits, renew_fetch_limits
@@ -65,8 +66,10 @@
             from roseweir.forecast import desk
 
             self.ahead = desk.AheadDesk(tuning.ahead, self.board, state, term.version, term.end)
-        plan_ahead = None if self.ahead is None else self.ahead.plan
-        self.cloud = CloudDesk(cloud, self.board, term.may_run, connect, plan_ahead)
+        self.drain = DrainDesk(tuning.drain, self.board, state, term.version, term.may_run, term.end)
+        planners = [self.drain.plan] if self.ahead is None else [self.ahead.plan, self.drain.plan]
+        self.cloud = CloudDesk(cloud, self.board, term.may_run, connect, planners)
+        self.drain.cloud = self.cloud
         self.open = False  # rebuilt: reports are taken
 
     async def run(self) -> None:
@@ -80,6 +83,7 @@
             group.create_task(self._limits())
             group.create_task(self.workers.direct())
             group.create_task(self.cloud.run())
+            group.create_task(self.drain.run())
             if self.ahead is not None:
                 group.create_task(self.ahead.run())
 
@@ -88,12 +92,15 @@
         while True:
             sent = steady()
             try:
+                # First: what is rebuilt can't be rebuilt again.
+                drains = await self.drain.read()
                 revision = await self.recorder.rebuild()
             except (Trouble, Unreachable) as e:
                 log.info("rebuilding: %s", e)
                 await pause(RETRY)
                 continue
             self.workers.news_at = sent
+            self.drain.use(drains)
             if self.ahead is not None:
                 for run in self.board.jobs.values():
                     # What the scan found beyond its revision comes again with the first watch.
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -10,6 +10,7 @@
 from roseweir.clock import pause, seconds, steady
 from roseweir.cloud.client import CloudClient, NoCapacity
 from roseweir.connections import Room, Side
+from roseweir.drain import messages as drains
 from roseweir.http import Connect, Line, Request, Response, Unreachable, connect, json_response, serve
 from roseweir.leadership.leadership import Leadership, Term
 from roseweir.membership.desk import PEER_PATIENCE, Membership
@@ -27,6 +28,7 @@
 
 CATALOG = "catalog/types"
 RETRY = seconds(0.2)
+DRAIN_PATIENCE = seconds(4)
 BACK_CONNECTIONS = 32
 # Jobs asked about in one request to the leader: it has to fit 64 KiB.
 ASKED_AT_ONCE = 2000
@@ -166,6 +168,8 @@
             return json_response(200 if await self.membership.reaches_state() else 503, {})
         if path == "/status":
             return json_response(200, self.status())
+        if path == "/drains":
+            return await self._drains(request)
         if path == "/forecast":
             return json_response(200, self.forecast())
         if path.startswith("/job/"):
@@ -178,6 +182,24 @@
             return json_response(200, {job_id: self._count(job_id) for job_id in jobs})
         return json_response(404, {"error": "no such path"})
 
+    async def _drains(self, request: Request) -> Response:
+        """Drains as they stand (GET), or one to take or stop (POST). A node that does not lead passes it on, once."""
+        reign = self.reign
+        if reign is not None and reign.open:
+            status, answer = await drains.serve(reign.drain, request.method, request.body)
+            return json_response(status, self._who() | answer, None if status < 500 else RETRY)
+        leader = self.leadership.leader
+        peer = None if leader is None else self.membership.peer(leader.name)
+        if peer is not None and not drains.was_passed_on(request.body):
+            try:
+                reply = await peer(
+                    "POST", "/drains", drains.pass_on(request.method, request.body), patience=DRAIN_PATIENCE
+                )
+                return Response(reply.status, reply.body)
+            except (Unreachable, ValueError) as e:
+                log.info("drains: the leader did not answer: %s", e)
+        return json_response(503, self._who() | {"error": "no leader answers; ask again, by the same name"}, RETRY)
+
     def _job(self, job_id: str) -> Response:
         reign = self.reign
         known = self._who()
@@ -224,6 +246,7 @@
             }
             if reign.ahead is not None:
                 answer |= reign.ahead.summary()
+            answer |= reign.drain.summary()
         return answer
 
     def _count(self, job_id: str) -> tuple[int, int]:
--- a/roseweir/tuning.py
+++ b/roseweir/tuning.py
@@ -9,9 +9,10 @@
 from roseweir.limits.settings import LimitSettings, parse_limits
 
 if TYPE_CHECKING:
+    from roseweir.drain.settings import DrainSettings
     from roseweir.forecast.settings import AheadSettings, Calendar
 
-FORMS = ("startup-limits", "renting-ahead", "calendar")
+FORMS = ("startup-limits", "renting-ahead", "calendar", "disruption", "replacement")
 
 
 class Tuning(LimitSettings):
@@ -19,6 +20,8 @@
 
     # Renting ahead of demand; None: off, and nothing of it is loaded.
     ahead: "AheadSettings | None" = None
+    # Budgets of disruption and own reasons to replace machines; None: operators' drains alone, with the defaults.
+    drain: "DrainSettings | None" = None
 
 
 def load_tuning(path: Path | None) -> Tuning:
@@ -54,11 +57,21 @@
                 calendar = parse_calendar(rest)
             else:
                 tuning.ahead = parse_ahead(rest)
+        elif head in ("disruption", "replacement"):
+            from roseweir.drain.settings import DrainSettings, parse_disruption, parse_replacement
+
+            tuning.drain = tuning.drain or DrainSettings()
+            if head == "disruption":
+                parse_disruption(tuning.drain, rest)
+            else:
+                tuning.drain.own = parse_replacement(rest)
         else:
             names = ", ".join(f"`{name}`" for name in FORMS)
             raise SettingsError(f"unknown name `{head}`, expected one of {names}")
     if calendar is not None:
-        if tuning.ahead is None:
-            raise SettingsError("`calendar` says nothing without `renting-ahead`")
-        tuning.ahead.calendar = calendar
+        if tuning.ahead is None and tuning.drain is None:
+            raise SettingsError("`calendar` says nothing without `renting-ahead` or `disruption`")
+        for switched_on in (tuning.ahead, tuning.drain):
+            if switched_on is not None:
+                switched_on.calendar = calendar
     return tuning
--- a/roseweir/workers/desk.py
+++ b/roseweir/workers/desk.py
@@ -94,6 +94,8 @@
             if ready:
                 return
             now = steady()
+            if machine.name in self.board.drained:
+                return
             if machine.shown and not machine.placements and not machine.exits and machine.recall_at is None:
                 if not self._may_hold():
                     return
--- a/tests/world.py
+++ b/tests/world.py
@@ -513,6 +513,7 @@
 
     def halt(self, task: TaskOn, grace: float) -> None:
         job = self.world.jobs[task.job]
+        self.world.on_halt(self, task, grace)
         if task.state == "running" and job["mark_every_s"] > 0 and grace >= job["mark_s"]:
             task.state, task.halted_at, task.ends = "saving", now(), now() + job["mark_s"]
         elif task.state == "saving" and grace > 0:
@@ -542,7 +543,8 @@
         # What a packet filter keeps from it: "state", "cloud", "peers", "workers", by the way it does so.
         self.lost: dict[str, str] = {}
         self.gate = virtual.Gate()
-        self.handlers: set[asyncio.Task[Any]] = set()
+        # In order: a set of tasks goes by their addresses, and a crash would go another way each time.
+        self.handlers: dict[asyncio.Task[Any], None] = {}
 
     def start(self) -> None:
         self.gate = virtual.Gate()
@@ -561,8 +563,8 @@
         if service is None:
             return None
         task = self.spawn(handler(service))
-        self.handlers.add(task)
-        task.add_done_callback(self.handlers.discard)
+        self.handlers[task] = None
+        task.add_done_callback(lambda done: self.handlers.pop(done, None))
         self.world.keep(task)
         await asyncio.wait({task})
         return None if task.cancelled() else task.result()
@@ -576,7 +578,7 @@
             self.world.errors.append(AssertionError("a term ended in a fault of the service, see its log"))
         if self.task is not None:
             self.task.cancel()
-        for handler in self.handlers:
+        for handler in list(self.handlers):
             handler.cancel()
         self.gate.open()
         self.service = None
@@ -621,7 +623,7 @@
         self.broken: list[RuleBroken] = []
         self.starts = 0
         self.cuts: set[str] = set()
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.tasks: dict[asyncio.Task[Any], None] = {}
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
         """A routine of the world's own, also when a node asks for it."""
@@ -630,11 +632,11 @@
         return task
 
     def keep(self, task: "asyncio.Task[Any]") -> None:
-        self.tasks.add(task)
+        self.tasks[task] = None
         task.add_done_callback(self._spawned)
 
     def _spawned(self, task: asyncio.Task[Any]) -> None:
-        self.tasks.discard(task)
+        self.tasks.pop(task, None)
         if not task.cancelled() and task.exception() is not None and not isinstance(task.exception(), Unreachable):
             self.errors.append(task.exception())
 
@@ -749,6 +751,9 @@
                 if task.on:
                     yield worker, task
 
+    def on_halt(self, worker: Worker, task: TaskOn, grace: float) -> None:
+        """A task is told to stop; for worlds that keep account of that."""
+
     def mates(self, task: TaskOn) -> list[tuple[Worker, TaskOn]]:
         return [(w, t) for w, t in self.on_machines() if t.job == task.job and t.attempt == task.attempt]
 
