--- a/roseweir/drain/desk.py
+++ b/roseweir/drain/desk.py
@@ -236,6 +236,7 @@
         await self._write(drain)
         self._switch_on(Found())
         self.steps.drains[drain.name] = drain
+        self.steps.choose(steady(), wall_ms())
         log.info("drain %s taken: %d machines, %s", drain.name, drain.total, ask.reason or "no reason given")
         return True, self.describe_one(drain)
 
--- a/roseweir/drain/pool.py
+++ b/roseweir/drain/pool.py
@@ -107,6 +107,11 @@
             self.gaps.setdefault(cordon.kind, deque()).append(now)
             self.changed = True
 
+    def boot(self, kind: str) -> timedelta:
+        """From rental to being in place: as measured last, or by the catalog."""
+        found = self.board.catalog.get(kind)
+        return self.boots.get(kind, timedelta(0) if found is None else found.boot)
+
     # -- how many -----------------------------------------------------------------------------
 
     def most(self, kind: str) -> int:
--- a/roseweir/drain/settings.py
+++ b/roseweir/drain/settings.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from roseweir.forecast.settings import Calendar
+from roseweir.calendars import Calendar
 from roseweir.forms import SettingsError, read_form, read_number, read_text
 
 
--- a/roseweir/drain/steps.py
+++ b/roseweir/drain/steps.py
@@ -98,7 +98,7 @@
         decision = Decision()
         self.waits = {}
         self._leave(now, wall_ms)
-        self._choose(now, wall_ms)
+        self.choose(now, wall_ms)
         for name, cordon in self.cordons.items():
             machine = self.board.machines.get(name)
             if machine is None or machine.leaving:
@@ -113,6 +113,7 @@
             self.waits[""] = "machines to be heard and listed after a take-over"
             return decision
         self.account.count_running(self.board.jobs.values())
+        self._begin_forced(decision, wall_ms)
         quiet = self.settings.is_quiet(wall)
         if quiet:
             self.waits[""] = "quiet hours to end"
@@ -138,7 +139,7 @@
             self.took.append(timedelta(milliseconds=max(0, wall_ms - cordon.since_ms)))
             del self.took[:-50]
 
-    def _choose(self, now: datetime, wall_ms: int) -> None:
+    def choose(self, now: datetime, wall_ms: int) -> None:
         """Which machines should go, and by whose word: operators' drains in their order, then own reasons."""
         drains = sorted(self.drains.values(), key=lambda d: (d.asked_ms, d.name))
         own = {} if self.own is None else self.own.look(self.board.machines.values(), now, wall_ms)
@@ -184,7 +185,7 @@
         """Cordon as many as the pool lets go: those first that are empty the soonest, then the oldest."""
         chosen: dict[tuple[str, bool, bool], list[Machine]] = {}
         for name, owner in self.owners.items():
-            if name in self.cordons:
+            if name in self.cordons or name in decision.cordons:
                 continue
             machine = self.board.machines[name]
             if machine.leaving or machine.recall_at is not None:
@@ -214,6 +215,17 @@
                 decision.cordons[machine.name] = Cordon(owner, kind, offer, wall_ms, replace, matched)
                 pace -= 1
 
+    def _begin_forced(self, decision: Decision, wall_ms: int) -> None:
+        """Past the deadline of a drain that is forced, nothing is waited for any more."""
+        late = {d.name for d in self.drains.values() if d.ask.force and d.is_late(wall_ms)}
+        for name, owner in self.owners.items():
+            machine = self.board.machines[name]
+            if owner in late and name not in self.cordons and not machine.leaving:
+                offer = (machine.type.name, machine.zone, machine.spot)
+                replace = self.drains[owner].ask.replace
+                matched = replace and self.pool.match(machine.type.name)
+                decision.cordons[name] = Cordon(owner, machine.type.name, offer, wall_ms, replace, matched)
+
     def _holds_back(self, machine: Machine, now: datetime) -> str:
         """Why it should not be begun with now."""
         why = ""
@@ -411,16 +423,14 @@
             if owner == drain and name in self.board.machines:
                 yield self.board.machines[name]
 
-    def expected_s(self, drain: str) -> float | None:
-        """Seconds until all of a drain's machines have gone, by what was measured so far; None: nothing was."""
-        if not self.took:
-            return None
+    def expected_s(self, drain: str) -> float:
+        """Seconds until all of a drain's machines have gone, as measured so far, or by settings and catalog."""
         kinds: dict[str, int] = {}
         for machine in self.machines_of(drain):
             kinds[machine.type.name] = kinds.get(machine.type.name, 0) + 1
-        usual = sorted(self.took)[len(self.took) // 2]
+        usual = sorted(self.took)[len(self.took) // 2] if self.took else self.settings.soon
         waves = (
-            -(-count // self.pool.most(kind)) * (usual + self.pool.boots.get(kind, ZERO)).total_seconds()
+            -(-count // self.pool.most(kind)) * (usual + self.pool.boot(kind)).total_seconds()
             for kind, count in kinds.items()
         )
         return round(max(waves, default=0.0), 1)
--- a/roseweir/forecast/cli.py
+++ b/roseweir/forecast/cli.py
@@ -139,7 +139,8 @@
 
 def _compare(args: argparse.Namespace) -> int:
     try:
-        from roseweir.forecast.settings import AheadSettings, parse_calendar
+        from roseweir.calendars import parse_calendar
+        from roseweir.forecast.settings import AheadSettings
         from roseweir.forecast.tools.compare import Case, begin_of_measure, compare
         from roseweir.forecast.tools.load import read_load
         from roseweir.forecast.tools.site import load_site
--- a/roseweir/tuning.py
+++ b/roseweir/tuning.py
@@ -9,8 +9,9 @@
 from roseweir.limits.settings import LimitSettings, parse_limits
 
 if TYPE_CHECKING:
+    from roseweir.calendars import Calendar
     from roseweir.drain.settings import DrainSettings
-    from roseweir.forecast.settings import AheadSettings, Calendar
+    from roseweir.forecast.settings import AheadSettings
 
 FORMS = ("startup-limits", "renting-ahead", "calendar", "disruption", "replacement")
 
@@ -49,14 +50,15 @@
         head, rest = read_form(form)
         if head == "startup-limits":
             parse_limits(tuning, rest)
-        elif head in ("renting-ahead", "calendar"):
+        elif head == "calendar":
+            from roseweir.calendars import parse_calendar
+
+            calendar = parse_calendar(rest)
+        elif head == "renting-ahead":
             # Loaded only where it is used: controllers have little memory.
-            from roseweir.forecast.settings import parse_ahead, parse_calendar
+            from roseweir.forecast.settings import parse_ahead
 
-            if head == "calendar":
-                calendar = parse_calendar(rest)
-            else:
-                tuning.ahead = parse_ahead(rest)
+            tuning.ahead = parse_ahead(rest)
         elif head in ("disruption", "replacement"):
             from roseweir.drain.settings import DrainSettings, parse_disruption, parse_replacement
 
--- a/tests/disturbance.py
+++ b/tests/disturbance.py
@@ -34,6 +34,7 @@
         self.lost: dict[Key, float] = {}
         self.most: list[tuple[float, dict[str, int]]] = []  # tasks that ran or were down, by team, lately
         self.forced_from = 1e9
+        self.known_after = KNOWN_AFTER
         self.ended: dict[Key, float] = {}
         self.leaks: dict[str, float] = {}
         self.halts = 0
@@ -97,7 +98,7 @@
         """As of now: what runs again has not been looked at since."""
         assert self.share is not None
         up = {(t.job, t.index) for _, t in self.on_machines() if t.state == "running" and t.halted_at is None}
-        old = {key for key, at in self.lost.items() if now() - at > KNOWN_AFTER}
+        old = {key for key, at in self.lost.items() if now() - at > self.known_after}
         down = {key for key in (self.stopped.keys() | old) - (up - set(unit)) if self.jobs[key[0]]["crew"] == team}
         base = max((counts.get(team, 0) for _, counts in self.most), default=0)
         most = max(len(unit), int(self.share * base + 1e-9))
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -6,13 +6,14 @@
 
 import pytest
 
+from roseweir.calendars import Calendar, Event
 from roseweir.clock import seconds
 from roseweir.cloud.plan import surplus, wanted
 from roseweir.forecast.ahead import late, lead_s, plan_ahead, sample_job
 from roseweir.forecast.history import Pool, Shape
 from roseweir.forecast.planner import Planner
 from roseweir.forecast.predict import Need, quantile
-from roseweir.forecast.settings import AheadSettings, Calendar, Event
+from roseweir.forecast.settings import AheadSettings
 from roseweir.forms import SettingsError
 from roseweir.placement.model import Machine
 from roseweir.placement.plan import Pass, plan
--- a/tests/test_forecast_tools.py
+++ b/tests/test_forecast_tools.py
@@ -9,10 +9,11 @@
 import orjson
 import pytest
 
+from roseweir.calendars import Calendar
 from roseweir.cli import main
 from roseweir.forecast.cli import KINDS as NAMED
 from roseweir.forecast.cli import print_forecast
-from roseweir.forecast.settings import AheadSettings, Calendar
+from roseweir.forecast.settings import AheadSettings
 from roseweir.forecast.tools.compare import AHEAD, BEST, NONE, RESERVE, Case, Result, begin_of_measure, bursts_of, play
 from roseweir.forecast.tools.compare import _result as figures_of
 from roseweir.forecast.tools.draw import KINDS, draw
--- a/tests/weeks.py
+++ b/tests/weeks.py
@@ -4,9 +4,10 @@
 from datetime import datetime, timedelta
 from zoneinfo import ZoneInfo
 
+from roseweir.calendars import Calendar
 from roseweir.forecast.history import Demand, Key, Pool, Shape
 from roseweir.forecast.planner import Planner
-from roseweir.forecast.settings import AheadSettings, Calendar
+from roseweir.forecast.settings import AheadSettings
 from tests.test_placement import new_board
 
 CPUS = Pool(False, None, None, True)
