--- a/roseweir/drain/steps.py
+++ b/roseweir/drain/steps.py
@@ -188,10 +188,11 @@
             if name in self.cordons or name in decision.cordons:
                 continue
             machine = self.board.machines[name]
-            if machine.leaving or machine.recall_at is not None:
+            if machine.recall_at is not None or (machine.leaving and not machine.placements):
                 continue  # it goes already
             drain = self.drains.get(owner)
-            replace = drain is None or drain.ask.replace
+            # One that is to go back once its tasks are over may wait for ever: it has to be emptied like the others.
+            replace = (drain is None or drain.ask.replace) and not machine.leaving
             chosen.setdefault((machine.type.name, machine.spot, replace), []).append(machine)
         pace = self.pool.pace()
         for (kind, spot, replace), machines in sorted(chosen.items(), key=lambda item: item[0]):
@@ -220,9 +221,9 @@
         late = {d.name for d in self.drains.values() if d.ask.force and d.is_late(wall_ms)}
         for name, owner in self.owners.items():
             machine = self.board.machines[name]
-            if owner in late and name not in self.cordons and not machine.leaving:
+            if owner in late and name not in self.cordons and (machine.placements or not machine.leaving):
                 offer = (machine.type.name, machine.zone, machine.spot)
-                replace = self.drains[owner].ask.replace
+                replace = self.drains[owner].ask.replace and not machine.leaving
                 matched = replace and self.pool.match(machine.type.name)
                 decision.cordons[name] = Cordon(owner, machine.type.name, offer, wall_ms, replace, matched)
 
@@ -411,7 +412,7 @@
     # -- told ---------------------------------------------------------------------------------
 
     def step_of(self, machine: Machine) -> Step:
-        if machine.leaving:
+        if machine.leaving and not machine.placements:
             return Step.LEAVING
         if machine.name not in self.cordons:
             return Step.WAITING
--- a/tests/test_drain_decisions.py
+++ b/tests/test_drain_decisions.py
@@ -343,6 +343,22 @@
     assert [m.name for m in steps.finish(now)] == ["i-0"]
 
 
+def test_a_machine_that_waits_for_long_tasks_before_it_goes_back_is_emptied_too() -> None:
+    """It counted as leaving already, and a drain of all waited for it for ever."""
+    board = new_board()
+    hands = [Hand(board, "i-0"), Hand(board, "i-1")]
+    heard(hands, NOW)
+    run = board.add_job(job(1, tasks=9, estimate_s=9000.0, checkpoint_s=5.0, save_s=1.0), 1)
+    placed(board, hands, run)
+    board.machines["i-0"].leaving = True
+    steps = drained(board, hands, DrainSettings(hole=1.0, grace=seconds(1)))
+    stopped = 0
+    for after in range(1, 15):
+        heard(hands, NOW + seconds(after))
+        stopped += len(decide(steps, NOW + seconds(after)).stops)
+    assert stopped > 0
+
+
 def test_replacements_come_first_while_they_can_be_had_and_the_hole_is_bounded_where_they_cannot() -> None:
     board = new_board()
     hands = [Hand(board, f"i-{n:02d}") for n in range(20)]
--- a/tests/world.py
+++ b/tests/world.py
@@ -626,6 +626,7 @@
         self.broken: list[RuleBroken] = []
         self.starts = 0
         self.cuts: set[str] = set()
+        self.over = False  # the day ends early: what it was played for is known
         self.tasks: dict[asyncio.Task[Any], None] = {}
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
@@ -1033,7 +1034,7 @@
                 if self.broken:
                     break
             end = length
-            while now() < end and not self.broken and not self.errors:
+            while now() < end and not (self.broken or self.errors or self.over):
                 await asyncio.sleep(0.5)
             for node in self.nodes:
                 node.crash()
