Drains: a drain that gives up says what held it; no more is begun with than the record has room for

Cause, read once more: the reasons were cleared before the end was told; and with the list of steps full, every decision, stops included, was put back for ever. Change: the last step's reasons are used; machines begun with are bounded by the room of their keys (496 at 8 KiB values). Both only where a drain goes on.

--- a/roseweir/drain/desk.py
+++ b/roseweir/drain/desk.py
@@ -56,6 +56,7 @@
         self.pool = Pool(board, self.settings.hole, now, self.settings.hole_gpus)
         self.own = None if self.settings.own is None else Own(self.settings.own, self.evidence, now)
         self.steps = Steps(self.settings, board, self.account, self.pool, self.own, now)
+        self.steps.cordons_most = self.store.most
         self.ended: dict[str, Drain] = {}
         self.on = False
         self.broken = ""  # the fault that stopped it
--- a/roseweir/drain/steps.py
+++ b/roseweir/drain/steps.py
@@ -88,6 +88,7 @@
         self.took: list[timedelta] = []  # from cordon to gone, the last ones
         self.progress: dict[str, datetime] = {}  # when a drain last began with a machine, or one of its left
         self.replaced = 0  # machines that left by a drain or an own reason, under this leader
+        self.cordons_most = 1 << 30  # that the record has room for
         self.heard_all = False  # the list was read since the take-over
 
     # -- once in a while ----------------------------------------------------------------------
@@ -96,7 +97,7 @@
         """What to do now, in one go; reserved in the account, and not done before it is recorded."""
         wall_ms = round(wall.timestamp() * 1000)
         decision = Decision()
-        self.waits = {}
+        held, self.waits = self.waits, {}
         self._leave(now, wall_ms)
         self.choose(now, wall_ms)
         for name, cordon in self.cordons.items():
@@ -108,7 +109,7 @@
                 decision.lifted.append(name)
             else:
                 cordon.drain = owner
-        self._end(decision, now, wall_ms)
+        self._end(decision, held, now, wall_ms)
         if not self.settled(now):
             self.waits[""] = "machines to be heard and listed after a take-over"
             return decision
@@ -158,7 +159,8 @@
             if machine.name not in self.cordons and not machine.leaving and (drain is None or drain.ask.replace):
                 self.due.setdefault(machine.type.name, []).append(machine)
 
-    def _end(self, decision: Decision, now: datetime, wall_ms: int) -> None:
+    def _end(self, decision: Decision, held: dict[str, str], now: datetime, wall_ms: int) -> None:
+        """`held`: what kept each machine in its step when it was last looked at."""
         left = dict.fromkeys(self.drains, 0)
         for owner in self.owners.values():
             if owner in left:
@@ -167,17 +169,15 @@
             if left[drain.name] == 0 and self.settled(now):
                 drain.outcome = "done"
             elif drain.is_late(wall_ms) and not drain.ask.force:
-                drain.outcome = f"gave up: {left[drain.name]} machines left, {self._what_held(drain)}"
+                drain.outcome = f"gave up: {left[drain.name]} machines left, waited for {self._held(drain, held)}"
             else:
                 continue
             drain.left, drain.ended_ms = left[drain.name], wall_ms
             decision.ended.append(drain)
 
-    def _what_held(self, drain: Drain) -> str:
-        for name, owner in self.owners.items():
-            if owner == drain.name and name in self.waits:
-                return self.waits[name]
-        return self.waits.get("", "they did not become free in time")
+    def _held(self, drain: Drain, held: dict[str, str]) -> str:
+        whys = [held[name] for name, owner in self.owners.items() if owner == drain.name and name in held]
+        return max(sorted(set(whys)), key=whys.count) if whys else held.get("", "them to become free")
 
     # -- beginning ----------------------------------------------------------------------------
 
@@ -194,7 +194,8 @@
             # One that is to go back once its tasks are over may wait for ever: it has to be emptied like the others.
             replace = (drain is None or drain.ask.replace) and not machine.leaving
             chosen.setdefault((machine.type.name, machine.spot, replace), []).append(machine)
-        pace = self.pool.pace()
+        # What is begun with has to fit its keys, or no stop could be recorded either.
+        pace = min(self.pool.pace(), self.cordons_most - len(self.cordons) - len(decision.cordons))
         for (kind, spot, replace), machines in sorted(chosen.items(), key=lambda item: item[0]):
             both = [*self.cordons.values(), *decision.cordons.values()]
             room = min(self.pool.room(kind, spot, replace, both, now), pace)
--- a/roseweir/drain/store.py
+++ b/roseweir/drain/store.py
@@ -29,6 +29,8 @@
 ASK, STEPS, ACCOUNT, POOL = PREFIX + "ask/", PREFIX + "steps/", PREFIX + "account/", PREFIX + "pool"
 STEP_PAGES, ACCOUNT_PAGES = 16, 8
 FILL = 0.8
+# A machine's entry: its own name, type, zone and drain, of some 40, 30, 30 and 40 characters at the most.
+ENTRY = 200
 TXN_BYTES = 48 * 1024
 
 
@@ -60,6 +62,8 @@
         self.state = state
         self.leader_version = leader_version
         self.room = int(min(state.settings.value_kb * 1024, 8192) * FILL)
+        # Machines that surely fit the list of steps: ENTRY bytes each, and a page may end with an entry's room unused.
+        self.most = STEP_PAGES * max(1, self.room // ENTRY - 1)
         self.versions: dict[str, int] = {}
         self._written: dict[str, bytes] = {}
         self._unsure: set[str] = set()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -395,7 +395,7 @@
     world.spawn_later(lambda _: act(world))
     # Work keeps waiting, so that nobody can say that the missing machines are not needed.
     check(world.play(length=90, jobs=120))
-    assert ends and "gave up" in ends[0]["state"], ends
+    assert ends and "gave up" in ends[0]["state"] and "its replacement" in ends[0]["state"], ends
 
 
 def test_a_drain_that_is_stopped_gives_its_machines_back_to_use() -> None:
--- a/tests/test_drain_decisions.py
+++ b/tests/test_drain_decisions.py
@@ -482,6 +482,9 @@
     }
     values = store.steps(cordons)
     assert len(values) == STEP_PAGES and all(len(orjson.dumps(v)) <= 8192 for v in values.values())
+    assert store.most == 496
+    fits = store.steps({f"i-{n:06d}" + "x" * 30: cordons["i-000000"] for n in range(store.most)})
+    assert all(len(orjson.dumps(v)) <= 8192 for v in fits.values())
     again = store.steps({name: c for name, c in cordons.items() if name != "i-000500"})
     assert sum(values[key] != again[key] for key in values) == 1, "one machine's step changes one key"
     with pytest.raises(Full):
