Drains: an end is told once it is recorded; forced machines go in turns if the record has no room for all

Cause, read once more: a drain's end was shown while its record was still under way; and more forced machines than the list of steps holds would have been put back for ever. Both only where a drain goes on. A test of the list's size shared its store with another.

--- a/roseweir/drain/steps.py
+++ b/roseweir/drain/steps.py
@@ -17,6 +17,8 @@
 from enum import StrEnum
 from heapq import nsmallest
 
+import msgspec
+
 from roseweir.clock import ZERO, seconds
 from roseweir.cloud.silence import patience
 from roseweir.drain.budget import Account
@@ -166,14 +168,15 @@
             if owner in left:
                 left[owner] += 1
         for drain in list(self.drains.values()):
-            if left[drain.name] == 0 and self.settled(now):
-                drain.outcome = "done"
+            here = left[drain.name]
+            if here == 0 and self.settled(now):
+                outcome = "done"
             elif drain.is_late(wall_ms) and not drain.ask.force:
-                drain.outcome = f"gave up: {left[drain.name]} machines left, waited for {self._held(drain, held)}"
+                outcome = f"gave up: {here} machines left, waited for {self._held(drain, held)}"
             else:
                 continue
-            drain.left, drain.ended_ms = left[drain.name], wall_ms
-            decision.ended.append(drain)
+            # A copy: until it is recorded, nobody is told that it has ended.
+            decision.ended.append(msgspec.structs.replace(drain, outcome=outcome, left=here, ended_ms=wall_ms))
 
     def _held(self, drain: Drain, held: dict[str, str]) -> str:
         whys = [held[name] for name, owner in self.owners.items() if owner == drain.name and name in held]
@@ -221,6 +224,8 @@
         """Past the deadline of a drain that is forced, nothing is waited for any more."""
         late = {d.name for d in self.drains.values() if d.ask.force and d.is_late(wall_ms)}
         for name, owner in self.owners.items():
+            if len(self.cordons) + len(decision.cordons) >= self.cordons_most:
+                return  # with more than fits its keys nothing could be recorded; the others follow as these leave
             machine = self.board.machines[name]
             if owner in late and name not in self.cordons and (machine.placements or not machine.leaving):
                 offer = (machine.type.name, machine.zone, machine.spot)
@@ -378,8 +383,6 @@
         for cordon in decision.cordons.values():
             if cordon.matched:
                 self.pool.unmatch(cordon.kind)
-        for drain in decision.ended:
-            drain.outcome, drain.left, drain.ended_ms = "", 0, 0
 
     def _give_back(self, stop: Stop) -> None:
         """Not stopped after all: what runs still counts as up."""
--- a/tests/test_drain_decisions.py
+++ b/tests/test_drain_decisions.py
@@ -359,6 +359,24 @@
     assert stopped > 0
 
 
+def test_more_forced_machines_than_the_record_has_room_for_go_in_turns() -> None:
+    board = new_board()
+    hands = [Hand(board, f"i-{n}") for n in range(6)]
+    heard(hands, NOW)
+    steps = drained(board, hands)
+    steps.cordons_most = 2
+    steps.drains["x"] = Drain(Ask("x", force=True, replace=False), MS - 10, MS - 5, 0.0, "i-9")
+    gone: list[str] = []
+    for after in range(1, 5):
+        heard([h for h in hands if h.name not in gone], NOW + seconds(after))
+        decide(steps, NOW + seconds(after))
+        assert len(steps.cordons) <= 2
+        for machine in steps.finish(NOW + seconds(after)):
+            board.forget_machine(machine.name, NOW + seconds(after), "released")
+            gone.append(machine.name)
+    assert len(gone) == 6
+
+
 def test_replacements_come_first_while_they_can_be_had_and_the_hole_is_bounded_where_they_cannot() -> None:
     board = new_board()
     hands = [Hand(board, f"i-{n:02d}") for n in range(20)]
@@ -483,7 +501,9 @@
     values = store.steps(cordons)
     assert len(values) == STEP_PAGES and all(len(orjson.dumps(v)) <= 8192 for v in values.values())
     assert store.most == 496
-    fits = store.steps({f"i-{n:06d}" + "x" * 30: cordons["i-000000"] for n in range(store.most)})
+    fits = Store(cast(StateClient, Small()), 1).steps(
+        {f"i-{n:06d}" + "x" * 30: cordons["i-000000"] for n in range(store.most)}
+    )
     assert all(len(orjson.dumps(v)) <= 8192 for v in fits.values())
     again = store.steps({name: c for name, c in cordons.items() if name != "i-000500"})
     assert sum(values[key] != again[key] for key in values) == 1, "one machine's step changes one key"
