Drains read once more: state that nobody read is gone, one place makes a cordon

Cause: flags, times and counters written and never read (pool, reasons, account, store), a cordon made in two places, a drain copied field by field. Change: they are gone; behaviour and tests' assertions are as they were.

--- a/roseweir/drain/budget.py
+++ b/roseweir/drain/budget.py
@@ -19,7 +19,7 @@
 from datetime import datetime, timedelta
 from typing import Any
 
-from roseweir.clock import NEVER, START
+from roseweir.clock import START
 from roseweir.drain.settings import Budget, DrainSettings
 from roseweir.placement.model import JobRun, Phase, Placement
 from roseweir.placement.watch import Cause
@@ -88,17 +88,11 @@
     return int((now - START) / SLOT)
 
 
-@dataclass(slots=True)
-class Down:
-    cause: Cause
-    since: datetime
-
-
 class Account:
     def __init__(self, settings: DrainSettings) -> None:
         self.settings = settings
         self.buckets: dict[tuple[int, str], Bucket] = {}
-        self.down: dict[str, dict[int, Down]] = {}
+        self.down: dict[str, dict[int, Cause]] = {}
         self.changed = True  # since the ledger was last written
         self._keys: dict[tuple[str, str], tuple[int, str]] = {}
 
@@ -131,7 +125,7 @@
         if gang and not down:
             bucket.gangs += 1
         for index in fresh:
-            down[index] = Down(cause, now)
+            down[index] = cause
         bucket.tasks += len(fresh)
         # Until they are counted again: otherwise a share would be taken of them twice.
         bucket.runs = max(0, bucket.runs - len(fresh))
@@ -152,7 +146,7 @@
             was = down.pop(index, None)
             if was is not None:
                 bucket.tasks -= 1
-                bucket.causes[was.cause] -= 1
+                bucket.causes[was] -= 1
         if not down:
             del self.down[run.spec.id]
             if run.spec.kind == GANG:
@@ -284,7 +278,7 @@
 def lost_work(placement: Placement, now: datetime) -> float:
     """Seconds of work that end with the task: since it began or last saved by itself; none if it can save."""
     spec = placement.run.spec
-    if placement.running_since is None or placement.running_since == NEVER or spec.kind == SERVICE:
+    if placement.running_since is None or spec.kind == SERVICE:
         return 0.0
     ran = (now - placement.running_since).total_seconds()
     return ran % spec.checkpoint_s if spec.checkpoint_s > 0 else ran
--- a/roseweir/drain/desk.py
+++ b/roseweir/drain/desk.py
@@ -6,6 +6,8 @@
 from datetime import datetime, timedelta
 from typing import Any
 
+import msgspec
+
 from roseweir import clock
 from roseweir.clock import pause, seconds, steady
 from roseweir.cloud.desk import CloudDesk
@@ -54,7 +56,7 @@
         self.evidence = Evidence()
         now = steady()
         self.pool = Pool(board, self.settings.hole, now, self.settings.hole_gpus)
-        self.own = None if self.settings.own is None else Own(self.settings.own, self.evidence, now)
+        self.own = None if self.settings.own is None else Own(self.settings.own, self.evidence)
         self.steps = Steps(self.settings, board, self.account, self.pool, self.own, now)
         self.steps.cordons_most = self.store.most
         self.ended: dict[str, Drain] = {}
@@ -175,7 +177,6 @@
             raise
         for drain in decision.ended:
             self.ended[drain.name] = drain
-        self.pool.changed = False
 
     def _tell(self, decision: Decision) -> None:
         begun: dict[str, list[str]] = {}
@@ -281,7 +282,7 @@
                 if not drain.ask.replace and not others:
                     raise Refused(f"service {spec.id} on {machine.name} may run nowhere else, and nothing replaces it")
 
-    async def _write(self, drain: Drain, deleted: str = "") -> None:
+    async def _write(self, drain: Drain) -> None:
         values: dict[str, Any] = {ASK + drain.name: encode_drain(drain)}
         for old in sorted(self.ended.values(), key=lambda d: d.ended_ms)[: max(0, len(self.ended) - ENDED_KEPT + 1)]:
             values[ASK + old.name] = None
@@ -313,9 +314,7 @@
         ms = wall_ms()
         left = sum(1 for _ in self.steps.machines_of(name))
         outcome = f"stopped by an operator: {left} machines left"
-        stopped = Drain(
-            drain.ask, drain.asked_ms, drain.deadline_ms, drain.grace_s, drain.upto, drain.total, outcome, left, ms
-        )
+        stopped = msgspec.structs.replace(drain, outcome=outcome, left=left, ended_ms=ms)
         await self._write(stopped)
         self.steps.drains.pop(name, None)
         self.ended[name] = stopped
--- a/roseweir/drain/pool.py
+++ b/roseweir/drain/pool.py
@@ -58,7 +58,6 @@
         self.boots: dict[str, timedelta] = {}  # from rental to being in place, as measured last
         self._counted: set[str] = set()
         self._waited: dict[bool, datetime] = {}  # when work last waited, by whether it needs GPUs
-        self.changed = False
 
     # -- what happens -------------------------------------------------------------------------
 
@@ -80,7 +79,6 @@
         for kind, gaps in self.gaps.items():
             while gaps and now - gaps[0] > NOT_NEEDED and not self._is_needed(kind, now):
                 gaps.popleft()
-                self.changed = True
 
     def _in_place(self, machine: Machine, now: datetime) -> bool:
         if not machine.shown or machine.booting or machine.leaving or machine.name in self.board.drained:
@@ -93,7 +91,6 @@
         gaps = self.gaps.get(kind)
         if gaps:
             gaps.popleft()
-            self.changed = True
         elif machine.spare:
             self.free.setdefault(kind, set()).add(machine.name)
 
@@ -106,7 +103,6 @@
         """A machine that was drained has left."""
         if cordon.replace and not cordon.matched:
             self.gaps.setdefault(cordon.kind, deque()).append(now)
-            self.changed = True
 
     def boot(self, kind: str) -> timedelta:
         """From rental to being in place: as measured last, or by the catalog."""
--- a/roseweir/drain/reasons.py
+++ b/roseweir/drain/reasons.py
@@ -52,18 +52,15 @@
 class Own:
     """The service's own reasons with their day's counts and brakes."""
 
-    def __init__(self, settings: OwnReasons, evidence: Evidence, began: datetime) -> None:
+    def __init__(self, settings: OwnReasons, evidence: Evidence) -> None:
         self.settings = settings
         self.evidence = evidence
         self.day = 0
         self.machines = 0
         self.money = 0.0
         self.brakes: dict[tuple[str, str], Brake] = {}
-        self.changed = False
         self._first: dict[tuple[str, str], datetime] = {}  # when a reason first replaced one of a type
-        self._began = began
         self.bad: dict[str, str] = {}  # machine: reason
-        self._told = ""
 
     # -- which --------------------------------------------------------------------------------
 
@@ -124,7 +121,6 @@
         brake.times += 1
         brake.why = why
         self._first.pop((reason, kind), None)
-        self.changed = True
         log.warning("%s stops for %s for %.0f s: %s", reason, kind, span.total_seconds(), why)
 
     def _is_braked(self, reason: str, machine: Machine, wall_ms: int) -> bool:
@@ -147,13 +143,12 @@
         self.machines += 1
         self.money += cost_of(machine)
         self._first.setdefault((reason, machine.type.name), now)
-        self.changed = True
 
     def _turn_day(self, wall_ms: int) -> None:
         day = datetime.fromtimestamp(wall_ms / 1000, UTC).toordinal()
         # Clocks of controllers differ: a day that has begun is not begun again.
         if day > self.day:
-            self.day, self.machines, self.money, self.changed = day, 0, 0.0, True
+            self.day, self.machines, self.money = day, 0, 0.0
 
     # -- kept ---------------------------------------------------------------------------------
 
--- a/roseweir/drain/steps.py
+++ b/roseweir/drain/steps.py
@@ -1,4 +1,4 @@
-"""What happens next to which machine. Pure: decides on the board, changes nothing there but what `begin_*` says.
+"""What happens next to which machine. Pure: decides on the board, changes nothing there until `carry_out`.
 
 A machine that is chosen goes through these steps: *waiting* until the pool and the budgets allow; *cordoned*: nothing
 new starts, what should end soon is waited for; *moving*: what can save or has run for long is told to stop, a gang as
@@ -136,7 +136,6 @@
             cordon = self.cordons.pop(name)
             self.board.drained.pop(name, None)
             self.pool.gone(cordon, now)
-            self.pool.changed = True
             self.replaced += 1
             self.progress[cordon.drain] = now
             self.took.append(timedelta(milliseconds=max(0, wall_ms - cordon.since_ms)))
@@ -215,9 +214,7 @@
                         self.waits[machine.name] = why
                         continue
                     self.own.spend(machine, owner, now, wall_ms)
-                offer = (kind, machine.zone, machine.spot)
-                matched = replace and self.pool.match(kind)
-                decision.cordons[machine.name] = Cordon(owner, kind, offer, wall_ms, replace, matched)
+                decision.cordons[machine.name] = self._cordon(machine, owner, replace, wall_ms)
                 pace -= 1
 
     def _begin_forced(self, decision: Decision, wall_ms: int) -> None:
@@ -228,10 +225,13 @@
                 return  # with more than fits its keys nothing could be recorded; the others follow as these leave
             machine = self.board.machines[name]
             if owner in late and name not in self.cordons and (machine.placements or not machine.leaving):
-                offer = (machine.type.name, machine.zone, machine.spot)
                 replace = self.drains[owner].ask.replace and not machine.leaving
-                matched = replace and self.pool.match(machine.type.name)
-                decision.cordons[name] = Cordon(owner, machine.type.name, offer, wall_ms, replace, matched)
+                decision.cordons[name] = self._cordon(machine, owner, replace, wall_ms)
+
+    def _cordon(self, machine: Machine, owner: str, replace: bool, wall_ms: int) -> Cordon:
+        kind = machine.type.name
+        matched = replace and self.pool.match(kind)
+        return Cordon(owner, kind, (kind, machine.zone, machine.spot), wall_ms, replace, matched)
 
     def _holds_back(self, machine: Machine, now: datetime) -> str:
         """Why it should not be begun with now."""
@@ -311,9 +311,8 @@
         if spec.kind == SERVICE:
             return "" if placement.state == wire.RUNNING else f"{placement.name} to be up"
         remaining = self._remaining(placement, now)
-        if spec.checkpoint_s <= 0 and placement.running_since is not None:
-            return f"{placement.name} to end in about {max(0, round(remaining.total_seconds()))} s"
-        if remaining <= max(self.settings.soon, seconds(spec.save_s * 2)):
+        rigid = spec.checkpoint_s <= 0 and placement.running_since is not None
+        if rigid or remaining <= max(self.settings.soon, seconds(spec.save_s * 2)):
             return f"{placement.name} to end in about {max(0, round(remaining.total_seconds()))} s"
         if spec.kind == GANG:
             if len(run.placed) < spec.tasks or any(p.state != wire.RUNNING for p in run.placed.values()):
--- a/roseweir/drain/store.py
+++ b/roseweir/drain/store.py
@@ -68,7 +68,6 @@
         self._written: dict[str, bytes] = {}
         self._unsure: set[str] = set()
         self._page: dict[str, int] = {}  # machine: page of its step
-        self.writes = 0
 
     # -- reading ------------------------------------------------------------------------------
 
@@ -195,7 +194,6 @@
         except (Trouble, Unreachable):
             self._unsure |= batch.keys()
             raise
-        self.writes += len(ops)
         for key, value in batch.items():
             if value is None:
                 self.versions.pop(key, None)
--- a/tests/test_drain_decisions.py
+++ b/tests/test_drain_decisions.py
@@ -428,13 +428,13 @@
     board, hands = old_board(30)
     price = cost_of(hands[0].machine)
     settings = OwnReasons(older=seconds(50), machines_a_day=10, money_a_day=price * 6.5)
-    own = Own(settings, Evidence(), NOW)
+    own = Own(settings, Evidence())
     begun: dict[int, int] = {}
     for hour in range(48):
         ms = MS + hour * 3_600_000
         if hour % 5 == 0:
             kept = own.encode()
-            own = Own(settings, Evidence(), NOW)
+            own = Own(settings, Evidence())
             own.take(orjson.loads(orjson.dumps(kept)))
         for name, reason in own.look(board.machines.values(), NOW, ms).items():
             if not own.holds(board.machines[name], ms):
@@ -447,7 +447,7 @@
 def test_a_reason_that_calls_much_of_a_type_bad_or_does_no_good_brakes_itself_and_tries_again_later() -> None:
     board, hands = old_board(20)
     evidence = Evidence()
-    own = Own(OwnReasons(slow=1.5, failing=2), evidence, NOW)
+    own = Own(OwnReasons(slow=1.5, failing=2), evidence)
 
     def slow(hand: Hand) -> None:
         for _ in range(10):
@@ -481,7 +481,7 @@
     board, hands = old_board(4)
     hands[1].machine.rented_at = NOW - seconds(10)
     hands[2].machine.rented_at = datetime(1970, 1, 1)
-    own = Own(OwnReasons(older=seconds(50)), Evidence(), NOW)
+    own = Own(OwnReasons(older=seconds(50)), Evidence())
     assert own.look(board.machines.values(), NOW, MS) == {hands[0].name: OLDER, hands[3].name: OLDER}
 
 
