State services with transactions of 4 changes and more are served

Why 16: the end of a job of 100,000 tasks took 15 changes, since its 13 chunks of finished tasks went with it. Change: chunks that do not fit the transaction of the end, or of a cancel, are left and tidied up by the leader when there is time; a new leader finds those of jobs that are over as it reads the record. Nobody reads a chunk of a job that is over.

--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -26,7 +26,7 @@
     read_spec,
     stored,
 )
-from roseweir.submissions.progress import chunk_key, decode_bits, encode_bits
+from roseweir.submissions.progress import at_the_end, chunk_key, decode_bits, encode_bits
 
 log = logging.getLogger(__name__)
 
@@ -66,6 +66,7 @@
     paged: list[Placement] = field(default_factory=list)
     chunks: list[tuple[JobRun, int, set[int]]] = field(default_factory=list)
     finished: list[JobRun] = field(default_factory=list)
+    tidied: list[str] = field(default_factory=list)
     size: int = 0
 
 
@@ -100,6 +101,8 @@
         # An earlier leader may have had more.
         self.notes = [Note() for _ in range(NOTES)]
         self.work = asyncio.Event()
+        # Chunks of jobs that are over, which had no room in the transaction of their end.
+        self.litter: set[str] = set()
         self._failing = False
         self._tidied = self._folded = NEVER
         self.recorded = recorded  # rung for machines that orders may go to: held answers look again
@@ -140,7 +143,9 @@
         for entry in done:
             job_id, _, number = entry.key.removeprefix(DONE_TASKS).rpartition("/")
             run = board.jobs.get(job_id)
-            if run is None:
+            if run is None or run.over:
+                # Only a leader writes chunks, and none but this one can now: it is left from before the job's end.
+                self.litter.add(entry.key)
                 continue
             run.chunk_versions[int(number)] = entry.version
             run.chunks_tried.add(int(number))
@@ -254,8 +259,9 @@
 
     def _end_job(self, batch: Batch, run: JobRun, most: int) -> None:
         job_id = run.spec.id
+        with_it, _ = at_the_end(job_id, run.chunks_tried, self.board.settings.params.state.txn_ops)
         ops = [put(OVER + job_id, stored(ended(run.spec, "done"))), delete(LIVE + job_id)]
-        ops += [delete(chunk_key(job_id, number)) for number in sorted(run.chunks_tried)]
+        ops += [delete(key) for key in with_it]
         if batch.ops and len(batch.ops) + len(ops) > most:
             return
         batch.finished.append(run)
@@ -330,6 +336,9 @@
                 self._add_page(batch, target, most)
             else:
                 self._add_chunks(batch, target, most)
+        if tidy:
+            batch.tidied = sorted(self.litter)[: max(0, most - len(batch.ops))]
+            batch.ops += [delete(key) for key in batch.tidied]
 
     def _add_page(self, batch: Batch, number: int, most: int) -> None:
         size = self.pages.totals[number] + 64
@@ -359,7 +368,6 @@
             batch.chunks.append((run, number, {i for i in run.noted if first <= i < first + CHUNK_TASKS}))
 
     async def _commit(self, batch: Batch) -> None:
-        board = self.board
         try:
             revision = await self.state.txn(list(batch.guards.items()), batch.ops)
         except Conflict as e:
@@ -376,7 +384,6 @@
             self._failing = True
             await pause(RETRY)
             return
-        now = steady()
         self._failing = False
         ready = {p.machine.name for p in batch.paged} | {p.machine.name for _, starts, _ in batch.notes for p in starts}
         for number in batch.pages:
@@ -394,8 +401,9 @@
             for run, index in done:
                 run.unsaved.discard(index)
                 run.noted.add(index)
+        self.litter.difference_update(batch.tidied)
         for run in batch.finished:
-            board.end_job(run.spec.id, ended(run.spec, "done"), now)
+            self.job_over(run.spec.id, ended(run.spec, "done"))
         self.recorded.ring(sorted(ready))
 
     def _recorded(self, placement: Placement) -> None:
@@ -436,4 +444,13 @@
         """The job's live key changed or went: is it over?"""
         over = await self.state.get(OVER + job_id)
         if over is not None:
-            self.board.end_job(job_id, read_ended(over.value), steady())
+            self.job_over(job_id, read_ended(over.value))
+
+    def job_over(self, job_id: str, how: Ended) -> None:
+        """The state service holds the job's end. Chunks that did not go with it are tidied up when there is time."""
+        run = self.board.jobs.get(job_id)
+        if run is None or run.over:
+            return
+        _, left = at_the_end(job_id, run.chunks_tried, self.board.settings.params.state.txn_ops)
+        self.litter.update(left)
+        self.board.end_job(job_id, how, steady())
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -159,7 +159,7 @@
             run = self.board.jobs.get(job_id)
             if run is not None:
                 # Only our own record of its end, or a user's cancel, takes a live key away.
-                self.board.end_job(job_id, ended(run.spec, "done" if run.complete else "cancelled"), steady())
+                self.recorder.job_over(job_id, ended(run.spec, "done" if run.complete else "cancelled"))
         self.work.set()
 
     async def _plan(self) -> None:
--- a/roseweir/settings.py
+++ b/roseweir/settings.py
@@ -85,8 +85,8 @@
     rps: Positive
     write_rps: Positive
     value_kb: Positive
-    # The end of a 100,000-task job takes 15 changes, which belong together.
-    txn_ops: Annotated[int, Meta(ge=16)]
+    # A job's end and the leader's election take two changes that belong together, and a batch a note beside them.
+    txn_ops: Annotated[int, Meta(ge=4)]
 
 
 class CloudSettings(msgspec.Struct):
--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -32,7 +32,7 @@
     stored,
 )
 from roseweir.submissions.messages import JOB_ID, HasId, Submission, standing
-from roseweir.submissions.progress import chunk_keys
+from roseweir.submissions.progress import at_the_end, chunks_of
 from roseweir.submissions.view import Progress, View
 
 log = logging.getLogger(__name__)
@@ -197,7 +197,9 @@
                 return known or json_response(404, {"error": "no such job"})
             spec = read_spec(live.value)
             ops = [put(OVER + job_id, stored(ended(spec, "cancelled"))), delete(LIVE + job_id)]
-            ops += [delete(key) for key in chunk_keys(job_id, spec.tasks)]
+            # What does not fit is tidied up by the leader, as it learns of the end.
+            with_it, _ = at_the_end(job_id, chunks_of(spec.tasks), self.state.settings.txn_ops)
+            ops += [delete(key) for key in with_it]
             try:
                 await self.commits.commit([(LIVE + job_id, live.version), (OVER + job_id, 0)], ops)
             except (Conflict, Unreachable):
