Account of who is served: by team and class, through take-overs, in status, the log and a verb

Change: the leader counts ends by the watch on live jobs, writes the tally with the watch's revision, and a successor asks for the ends since: none lost, none twice. Requests sent away are gathered from all nodes. Ends keep team and class. Found on the way: a take-over that read anew after a failure used its records twice; the account is read apart from them.

--- a/roseweir/cli.py
+++ b/roseweir/cli.py
@@ -66,6 +66,7 @@
     status = commands.add_parser("status", help="show what a controller knows")
     question(status, "status")
     status.add_argument("--job", metavar="ID", help="what an unfinished job waits for; ask the leader")
+    question(commands.add_parser("served", help="show who is served, by team and class; ask the leader"), "served")
     drain.add_commands(commands)
     forecast.add_commands(commands, lambda ask: question(ask, "forecast"))
     return parser
@@ -136,6 +137,8 @@
         print(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
     elif args.what == "limits":
         _print_limits(answer)
+    elif args.what == "served":
+        _print_served(answer)
     elif args.what == "forecast":
         forecast.print_forecast(answer)
     else:
@@ -148,12 +151,28 @@
     return 0
 
 
+def _print_served(answer: dict[str, Any]) -> None:
+    columns = ("accepted", "started", "done", "cancelled", "turned_away", "waiting", "tasks_waiting", "tasks_running")
+    rows = [("team", "class", *columns, "served")]
+    for kind, of in (("teams", "team"), ("classes", "class")):
+        for name, at in answer[kind].items():
+            who = (name, "*") if of == "team" else ("*", name)
+            rows.append((*who, *(str(at[c]) for c in columns), f"{at['served']:.2f}"))
+    rows += [(r["team"], r["class"], *(str(r[c]) for c in columns), f"{r['served']:.2f}") for r in answer["rows"]]
+    _print_table(rows)
+    if answer["gaps"]:
+        print(f"ends were lost {answer['gaps']} times, when the record was too old to be made up for")
+
+
+def _print_table(rows: Sequence[Sequence[str]]) -> None:
+    widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
+    for row in rows:
+        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
+
+
 def _print_limits(answer: dict[str, Any]) -> None:
     if answer["leader"] != answer["node"]:
         print(f"{answer['node']} does not lead; the limits are kept by {answer['leader'] or 'nobody known'}")
         return
     columns = ("tag", "tokens", "capacity", "window_s", "burst", "draw_cap", "expires_in_s", "skipped", "blocked_s")
-    rows = [columns, *(tuple(str(limit[c]) for c in columns) for limit in answer["limits"])]
-    widths = [max(len(row[i]) for row in rows) for i in range(len(columns))]
-    for row in rows:
-        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
+    _print_table([columns, *(tuple(str(limit[c]) for c in columns) for limit in answer["limits"])])
--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any
@@ -103,6 +104,8 @@
         self.work = asyncio.Event()
         # Chunks of jobs that are over, which had no room in the transaction of their end.
         self.litter: set[str] = set()
+        # Who wants to know of jobs' ends as they are recorded, and how they ended.
+        self.on_end: Callable[[str, str], None] = lambda job_id, state: None
         self._failing = False
         self._tidied = self._folded = NEVER
         self.recorded = recorded  # rung for machines that orders may go to: held answers look again
@@ -453,4 +456,5 @@
             return
         _, left = at_the_end(job_id, run.chunks_tried, self.board.settings.params.state.txn_ops)
         self.litter.update(left)
+        self.on_end(job_id, how.state)
         self.board.end_job(job_id, how, steady())
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -17,6 +17,7 @@
 from roseweir.placement.board import Board
 from roseweir.placement.plan import Pass, plan
 from roseweir.placement.recorder import Deposed, Recorder
+from roseweir.served.desk import Gather, ServedDesk
 from roseweir.settings import Settings
 from roseweir.state import StateClient, Trouble
 from roseweir.submissions.jobs import LIVE, MachineType, ended, read_spec
@@ -51,6 +52,7 @@
         term: Term,
         connect: Connect,
         may_hold: Callable[[], bool],
+        turned_away: Gather,
     ) -> None:
         self.term = term
         self.state = state
@@ -66,6 +68,8 @@
             from roseweir.forecast import desk
 
             self.ahead = desk.AheadDesk(tuning.ahead, self.board, state, term.version, term.end)
+        self.served = ServedDesk(self.board, state, term.version, term.end, turned_away)
+        self.recorder.on_end = self.served.account.over
         self.drain = DrainDesk(tuning.drain, self.board, state, term.version, term.may_run, term.end)
         planners = [self.drain.plan] if self.ahead is None else [self.ahead.plan, self.drain.plan]
         self.cloud = CloudDesk(cloud, self.board, term.may_run, connect, planners)
@@ -84,6 +88,7 @@
             group.create_task(self.workers.direct())
             group.create_task(self.cloud.run())
             group.create_task(self.drain.run())
+            group.create_task(self.served.run())
             if self.ahead is not None:
                 group.create_task(self.ahead.run())
 
@@ -101,6 +106,7 @@
                 continue
             self.workers.news_at = sent
             self.drain.use(drains)
+            self.served.begin(revision)
             if self.ahead is not None:
                 for run in self.board.jobs.values():
                     # What the scan found beyond its revision comes again with the first watch.
@@ -127,6 +133,7 @@
                     items, revision = changes
                     for item in items:
                         self._learn(item.key.removeprefix(LIVE), item.value, item.version, item.version)
+                self.served.revision = revision
                 if self.ahead is not None:
                     self.ahead.news(revision, sent, whole=changes is not None)
             except (Trouble, Unreachable) as e:
@@ -145,12 +152,16 @@
                 if self.ahead is not None:
                     self.ahead.ended(job_id)
                 await self.recorder.check_job(job_id)
+        for job_id in self.served.account.live.keys() - present:
+            self.served.account.gone(job_id)
+        self.served.account.gaps += 1  # what came and went meanwhile
         return revision
 
     def _learn(self, job_id: str, value: object, version: int, revision: int) -> None:
         """`revision`: what is newer than this comes again, and is counted then."""
         if value is not None:
             accepted = self.board.add_job(read_spec(value), version)
+            self.served.account.accepted(accepted.spec)
             if self.ahead is not None and version <= revision:
                 self.ahead.learn(accepted, version)
         else:
@@ -160,6 +171,7 @@
             if run is not None:
                 # Only our own record of its end, or a user's cancel, takes a live key away.
                 self.recorder.job_over(job_id, ended(run.spec, "done" if run.complete else "cancelled"))
+            self.served.account.gone(job_id)
         self.work.set()
 
     async def _plan(self) -> None:
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -5,19 +5,33 @@
 import logging
 from collections.abc import Awaitable, Callable
 from errno import EADDRINUSE
+from secrets import token_hex
 from typing import Any
 
 import msgspec
 
-from roseweir.clock import pause, seconds, steady
+from roseweir.clock import NEVER, pause, seconds, steady
 from roseweir.cloud.client import CloudClient, NoCapacity
 from roseweir.connections import Room, Side
 from roseweir.drain import messages as drains
-from roseweir.http import Connect, Line, Listener, Request, Response, Unreachable, connect, json_response, serve
+from roseweir.http import (
+    Connect,
+    Line,
+    Listener,
+    Request,
+    Response,
+    Transport,
+    Unreachable,
+    connect,
+    json_response,
+    serve,
+)
 from roseweir.leadership.leadership import Leadership, Term
 from roseweir.membership.desk import PEER_PATIENCE, Membership
 from roseweir.placement.explain import explain
 from roseweir.reign import Reign
+from roseweir.served import messages as served
+from roseweir.served.desk import gather
 from roseweir.settings import Settings
 from roseweir.state import Conflict, StateClient, Trouble
 from roseweir.state.client import put
@@ -52,6 +66,9 @@
         self.leadership = Leadership(
             settings, self.state, self._lead, self.membership.ask_peers, self.membership.probe_workers
         )
+        # Tells this process from an earlier one of the same node.
+        self._instance = token_hex(4)
+        self._began = NEVER
         self.reign: Reign | None = None
         self.catalog: list[MachineType] = []
         # Some sockets stay free for the state service, the cloud, workers' direct commands and peers.
@@ -68,6 +85,7 @@
             await self.duties()
 
     async def duties(self) -> None:
+        self._began = steady()
         async with asyncio.TaskGroup() as group:
             group.create_task(self.desk.commits.run())
             group.create_task(self.desk.view.run())
@@ -122,7 +140,15 @@
         while not self.catalog:
             await pause(seconds(0.05))
         reign = Reign(
-            self.settings, self.tuning, self.state, self.cloud, self.catalog, term, self._connect, self.room.may_hold
+            self.settings,
+            self.tuning,
+            self.state,
+            self.cloud,
+            self.catalog,
+            term,
+            self._connect,
+            self.room.may_hold,
+            self._gather_turned_away,
         )
         self.reign = reign
         try:
@@ -171,6 +197,10 @@
             return json_response(200 if await self.membership.reaches_state() else 503, {})
         if path == "/status":
             return json_response(200, self.status())
+        if path == "/served":
+            return self._served()
+        if path == "/turned-away":
+            return json_response(200, self._turned_away())
         if path == "/drains":
             return await self._drains(request)
         if path == "/forecast":
@@ -203,6 +233,33 @@
                 log.info("drains: the leader did not answer: %s", e)
         return json_response(503, self._who() | {"error": "no leader answers; ask again, by the same name"}, RETRY)
 
+    def _served(self) -> Response:
+        reign = self.reign
+        if reign is None or not reign.open:
+            return json_response(404, self._who() | {"error": "this controller does not lead"})
+        return json_response(200, self._who() | reign.served.describe() | {"as_of_s": self._age(reign)})
+
+    def _turned_away(self) -> dict[str, Any]:
+        up = (steady() - self._began).total_seconds()
+        return served.turned(self._instance, up, self.desk.turned_away)
+
+    async def _gather_turned_away(self) -> dict[str, served.Turned]:
+        async def own() -> Any:
+            return self._turned_away()
+
+        def other(peer: Transport) -> Callable[[], Awaitable[Any]]:
+            async def ask() -> Any:
+                return (await peer("GET", "/turned-away", patience=PEER_PATIENCE)).json()
+
+            return ask
+
+        asks: dict[str, Callable[[], Awaitable[Any]]] = {self.settings.name: own}
+        for each in self.settings.peers:
+            peer = self.membership.peer(each.name)
+            if peer is not None:
+                asks[each.name] = other(peer)
+        return await gather(asks)
+
     def _job(self, job_id: str) -> Response:
         reign = self.reign
         known = self._who()
@@ -250,6 +307,7 @@
             if reign.ahead is not None:
                 answer |= reign.ahead.summary()
             answer |= reign.drain.summary()
+            answer |= reign.served.summary()
         return answer
 
     def _count(self, job_id: str) -> tuple[int, int]:
--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -43,6 +43,8 @@
 # seconds' worth may come at once. The ends of their jobs can wait for the records of starts.
 GUEST_SHARE, GUEST_BURST = 0.4, 10.0
 REMEMBERED = 20_000
+# Teams and classes told apart; what is more is kept together.
+ROWS, REST = 256, "*"
 TRIES = 3
 
 _ID = re.compile(JOB_ID)
@@ -60,6 +62,8 @@
         self.commits = Commits(state, most_waiting=8 * settings.params.state.txn_ops)
         self.view = View(state, len(settings.peers) + 1, progress)
         self._ended: OrderedDict[str, str] = OrderedDict()
+        # Requests answered with a time to come back, by team and class, since this process started.
+        self.turned_away: dict[tuple[str, str], int] = {}
         # A flood of polls must leave the state service to renewals and records.
         self._reads = Pace(settings.params.state.rps * 0.25)
         guests = settings.params.state.write_rps * GUEST_SHARE / (len(settings.peers) + 1)
@@ -106,6 +110,22 @@
             return await self._known(job_id) or json_response(
                 status, {"error": error}, COME_BACK if status == 503 else None
             )
+        try:
+            response = await self._accept(job_id, spec)
+        except (Busy, Trouble, Unreachable):
+            self._note_turned_away(spec)
+            raise
+        if response.status == 429:
+            self._note_turned_away(spec)
+        return response
+
+    def _note_turned_away(self, spec: JobSpec) -> None:
+        row = (spec.team, spec.job_class)
+        if len(self.turned_away) >= ROWS:
+            row = row if row in self.turned_away else (REST, REST)
+        self.turned_away[row] = self.turned_away.get(row, 0) + 1
+
+    async def _accept(self, job_id: str, spec: JobSpec) -> Response:
         if not self.teams[spec.team].guaranteed and not self._guests.spend():
             # A guest's swarm must leave the records of everybody's starts and ends their changes.
             return await self._known(job_id) or json_response(
--- a/roseweir/submissions/jobs.py
+++ b/roseweir/submissions/jobs.py
@@ -98,6 +98,7 @@
     state: Literal["done", "cancelled"]
     tasks: int
     team: str = ""
+    job_class: str = ""
     cpus: float = 0.0
     gpus: float = 0.0
     memory_gb: float = 0.0
@@ -118,8 +119,8 @@
 
 def ended(spec: JobSpec, state: Literal["done", "cancelled"]) -> Ended:
     if state == "done":
-        return Ended(state, spec.tasks)
-    return Ended(state, spec.tasks, spec.team, spec.cpus, spec.gpus, spec.memory_gb)
+        return Ended(state, spec.tasks, spec.team, spec.job_class)
+    return Ended(state, spec.tasks, spec.team, spec.job_class, spec.cpus, spec.gpus, spec.memory_gb)
 
 
 def stored(value: msgspec.Struct) -> Any:
