--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -58,6 +58,7 @@
     def __init__(self, settings: Settings, state: StateClient, progress: Progress) -> None:
         self.state = state
         self.teams = {team.name: team for team in settings.params.teams}
+        self._any_guaranteed = any(team.guaranteed for team in self.teams.values())
         self.catalog: Sequence[MachineType] | None = None
         self.commits = Commits(state, most_waiting=8 * settings.params.state.txn_ops)
         self.view = View(state, len(settings.peers) + 1, progress)
@@ -119,6 +120,11 @@
             self._note_turned_away(spec)
         return response
 
+    def _is_guest(self, spec: JobSpec) -> bool:
+        """A team without a guarantee beside others with one. Where nobody has one, nobody is a guest: there 931 requests
+        of everybody's were sent away in the first half minute of a day (third place, steady)."""
+        return self._any_guaranteed and not self.teams[spec.team].guaranteed
+
     def _note_turned_away(self, spec: JobSpec) -> None:
         row = (spec.team, spec.job_class)
         if len(self.turned_away) >= ROWS:
@@ -126,7 +132,7 @@
         self.turned_away[row] = self.turned_away.get(row, 0) + 1
 
     async def _accept(self, job_id: str, spec: JobSpec) -> Response:
-        if not self.teams[spec.team].guaranteed and not self._guests.spend():
+        if self._is_guest(spec) and not self._guests.spend():
             # A guest's swarm must leave the records of everybody's starts and ends their changes.
             return await self._known(job_id) or json_response(
                 429, {"error": "more jobs than this team may submit at once"}, GUEST_BACK
