--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -121,8 +121,10 @@
         return response
 
     def _is_guest(self, spec: JobSpec) -> bool:
-        """A team without a guarantee beside others with one. Where nobody has one, nobody is a guest: there 931 requests
-        of everybody's were sent away in the first half minute of a day (third place, steady)."""
+        """A team without a guarantee beside others with one. Where nobody has one, nobody is a guest.
+
+        There, 931 requests of everybody's were sent away in the first half minute of a day (third place, steady).
+        """
         return self._any_guaranteed and not self.teams[spec.team].guaranteed
 
     def _note_turned_away(self, spec: JobSpec) -> None:
