Room kept free in each zone for classes that must start sooner than a machine boots

Change: CPU-only work of lower rank leaves two such jobs' room in each zone, 6% of its CPUs at most, on machines that hold most of their images; answers to these machines are held for it.

--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -14,6 +14,7 @@
 from roseweir.clock import NEVER, ZERO, seconds
 from roseweir.limits import Limits
 from roseweir.limits.rules import renew_restart_limit
+from roseweir.placement.headroom import Headroom
 from roseweir.placement.model import JobRun, Machine, Phase, Placement, new_run
 from roseweir.placement.watch import Cause, Watcher
 from roseweir.settings import Settings
@@ -92,6 +93,8 @@
         self.spill_until = NEVER
         # Images of classes whose aims are about starting soon.
         self.prompt_images: set[str] = set()
+        # Room for classes that must start at once.
+        self.headroom = Headroom.of(settings.params.objectives)
         self._prompt_classes = {o.job_class for o in settings.params.objectives if o.kind == "wait"}
         # Kinds of machines (type, zone, spot) that were rented by this leader or one on record.
         self.obtained: set[tuple[str, str, bool]] = set()
@@ -135,6 +138,7 @@
                 self.least_cpus = min(self.least_cpus, spec.cpus)
             if spec.job_class in self._prompt_classes and spec.image:
                 self.prompt_images.add(spec.image)
+            self.headroom.learn(spec, self.catalog.values())
             self.changed = True
         return run
 
--- a/roseweir/placement/look.py
+++ b/roseweir/placement/look.py
@@ -69,7 +69,7 @@
         self._order: list[tuple[datetime, str, Machine]] | None = None
         self._estimates: dict[JobRun, timedelta] = {}
         # What no machine has room for, by what the job allows.
-        self._full: dict[Demand, list[Size]] = {}
+        self._full: dict[tuple[Demand, bool], list[Size]] = {}
 
     def rank(self, machine: Machine) -> int:
         return self._rank[machine.name]
@@ -103,15 +103,18 @@
 
     # -- what has no room ---------------------------------------------------------------------
 
-    def is_full(self, spec: JobSpec) -> bool:
-        """No machine has room for a task that takes no more than one of this job, and allows the same."""
+    def is_full(self, spec: JobSpec, leaves: bool) -> bool:
+        """No machine has room for a task that takes no more than one of this job, and allows the same.
+
+        `leaves`: the headroom is left alone.
+        """
         return any(
             size[0] <= spec.cpus and size[1] <= spec.gpus and size[2] <= spec.memory_gb
-            for size in self._full.get(demand_of(spec), ())
+            for size in self._full.get((demand_of(spec), leaves), ())
         )
 
-    def note_full(self, spec: JobSpec) -> None:
-        self._full.setdefault(demand_of(spec), []).append(size_of(spec))
+    def note_full(self, spec: JobSpec, leaves: bool) -> None:
+        self._full.setdefault((demand_of(spec), leaves), []).append(size_of(spec))
 
     def room_came_free(self) -> None:
         """Somebody was stopped: what had no room may have some, and sooner."""
--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -216,15 +216,16 @@
         while total > self.type.cache_gb and len(self.images) > 1:
             total -= self.images.popitem(last=False)[1]
 
-    def room(self, spec: JobSpec, reserve: float) -> int:
+    def room(self, spec: JobSpec, reserve: float, kept: tuple[float, float] = (0.0, 0.0)) -> int:
         """How many tasks of the job fit now.
 
-        CPU-only work leaves each GPU of the machine `reserve` CPUs, which GPU jobs bring along.
+        CPU-only work leaves each GPU of the machine `reserve` CPUs, which GPU jobs bring along. `kept`: CPUs and GB
+        that are left free.
         """
-        free_cpus = self.free_cpus
+        free_cpus = self.free_cpus - kept[0]
         if spec.gpus <= 0 and self.type.gpus > 0 and reserve > 0:
             free_cpus = min(free_cpus, self.type.cpus - self.type.gpus * reserve - self.cpu_only)
-        return how_many(spec, free_cpus, self.free_gpus, self.free_memory)
+        return how_many(spec, free_cpus, self.free_gpus, self.free_memory - kept[1])
 
 
 def how_many(spec: JobSpec, cpus: float, gpus: float, memory: float) -> int:
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -111,7 +111,8 @@
     mark_covered(board)
     open_machines = usable(board, now)
     look = Look(board, open_machines, now)
-    reserves = _reserves(board, open_machines, now)
+    reserves = Reserves(_reserves(board, open_machines, now))
+    board.headroom.kept = {}
     waiting = queue(board)
     board.least_cpus = min((run.spec.cpus for run in waiting if run.spec.gpus <= 0), default=inf)
     board.least_gpus = min((run.spec.gpus for run in waiting if run.spec.gpus > 0), default=inf)
@@ -138,12 +139,18 @@
         count, unwanted = board.limits.adjust(spec, source_of(spec), allowed, now)
         if count <= 0 or (spec.kind == GANG and count < wanted and not run.placed):
             continue
-        shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot, tuple(spec.types or ("*",)))
+        leaves = board.headroom.leaves(run)
+        if leaves and not reserves.kept:
+            # Those that come before have what they could have; what is free now is kept.
+            board.headroom.keep(open_machines, board.prompt_images)
+            reserves.kept = board.headroom.kept
+        shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot, tuple(spec.types or ("*",)), leaves)
         if shape in full and not run.error_machines:
             result.left.append((run, allowed))
             continue
         candidates: list[Machine] = []
-        if not look.is_full(spec):
+        reserves.leaves = leaves
+        if not look.is_full(spec, leaves):
             candidates = _candidates(look, run, roomy[spec.gpus > 0], reserved, unwanted, reserves)
         if spec.kind == GANG:
             placed = _place_gang(board, run, wanted, candidates, reserves, now)
@@ -164,6 +171,8 @@
                 full.add(shape)
             if placed < count:
                 _make_room(look, run, count - placed, reserved)
+    if not reserves.kept:
+        board.headroom.keep(open_machines, board.prompt_images)
     return result
 
 
@@ -176,6 +185,20 @@
     return [m for m in machines if m.free_cpus >= cpus], [m for m in machines if m.free_gpus >= gpus]
 
 
+@dataclass(slots=True)
+class Reserves:
+    """What a job has to leave free on machines: CPUs for each GPU, and the headroom."""
+
+    gpus: dict[str, float]
+    kept: dict[str, tuple[float, float]] = field(default_factory=dict)
+    leaves: bool = False  # the job at hand leaves the headroom alone
+
+    def room(self, machine: Machine, spec: JobSpec) -> int:
+        reserve = self.gpus.get(machine.name, 0.0)
+        kept = self.kept.get(machine.name) if self.leaves else None
+        return machine.room(spec, reserve) if kept is None else machine.room(spec, reserve, kept)
+
+
 def _reserves(board: Board, machines: list[Machine], now: datetime) -> dict[str, float]:
     """CPUs for each GPU that CPU-only work has to leave free, by machine.
 
@@ -221,7 +244,7 @@
     machines: list[Machine],
     reserved: dict[str, datetime],
     unwanted: list[Limit],
-    reserves: dict[str, float],
+    reserves: "Reserves",
 ) -> list[Machine]:
     board, now, spec = look.board, look.now, run.spec
     cpus, gpus, memory = spec.cpus - 1e-6, spec.gpus - 1e-6, spec.memory_gb - 1e-6
@@ -232,7 +255,7 @@
     for machine in machines:
         if machine.free_cpus < cpus or machine.free_gpus < gpus or machine.free_memory < memory:
             continue
-        if not suits(spec, machine) or machine.room(spec, reserves.get(machine.name, 0.0)) <= 0:
+        if not suits(spec, machine) or reserves.room(machine, spec) <= 0:
             continue
         full = False
         if ends > reserved.get(machine.name, FOREVER) or _promised_away(board, machine, spec, now):
@@ -241,7 +264,7 @@
             continue
         found.append((*_score(look, spec, machine), look.rank(machine), machine))
     if full:
-        look.note_full(spec)
+        look.note_full(spec, reserves.leaves)
     found.sort()
     return [scored[-1] for scored in found]
 
@@ -292,7 +315,7 @@
 
 
 def _place_tasks(
-    board: Board, run: JobRun, count: int, candidates: list[Machine], reserves: dict[str, float], now: datetime
+    board: Board, run: JobRun, count: int, candidates: list[Machine], reserves: "Reserves", now: datetime
 ) -> int:
     spec = run.spec
     attempt = 0
@@ -302,7 +325,7 @@
         cached = machine.has_image(spec.image)
         if not cached and machine.zone in blocked_zones:
             continue
-        here = min(count - placed, machine.room(spec, reserves.get(machine.name, 0.0)), _zone_room(run, machine))
+        here = min(count - placed, reserves.room(machine, spec), _zone_room(run, machine))
         if here <= 0:
             continue
         # A blocked start is skipped, not held: another machine, or the next pass, may do.
@@ -325,7 +348,7 @@
 
 
 def _place_gang(
-    board: Board, run: JobRun, wanted: int, candidates: list[Machine], reserves: dict[str, float], now: datetime
+    board: Board, run: JobRun, wanted: int, candidates: list[Machine], reserves: "Reserves", now: datetime
 ) -> int:
     """All tasks that miss a place, or none: whole gangs, and replacements of a gathering one."""
     spec = run.spec
@@ -365,14 +388,14 @@
 
 
 def _spread_gang(
-    run: JobRun, wanted: int, candidates: list[Machine], reserves: dict[str, float]
+    run: JobRun, wanted: int, candidates: list[Machine], reserves: "Reserves"
 ) -> list[tuple[Machine, int]] | None:
     spec = run.spec
     chosen: list[tuple[Machine, int]] = []
     in_zone: dict[str, int] = {}
     missing = wanted
     for machine in candidates:
-        here = min(missing, machine.room(spec, reserves.get(machine.name, 0.0)))
+        here = min(missing, reserves.room(machine, spec))
         if spec.spread:
             taken = in_zone.get(machine.zone, run.placed_in_zone(machine.zone))
             here = min(here, (spec.tasks + 1) // 2 - taken)
--- a/roseweir/workers/desk.py
+++ b/roseweir/workers/desk.py
@@ -102,6 +102,11 @@
                 until = since + idle_hold
             elif awaited:
                 until = since + RECORD_HOLD
+                if machine.name in self.board.headroom.kept:
+                    until = max(until, since + idle_hold + RECORD_HOLD)
+            elif machine.name in self.board.headroom.kept and machine.shown and not machine.exits and self._may_hold():
+                # What is kept there is for work that must start at once, without waiting for the next report.
+                until = since + idle_hold
             elif self.board.changed and machine.shown and self.board.may_take_more(machine):
                 until = settle
             else:
--- /dev/null
+++ b/tests/test_headroom.py
@@ -0,0 +1,79 @@
+"""Room kept free for classes that must start at once, and what lower work may not take of it."""
+
+import msgspec
+
+from roseweir.clock import seconds
+from roseweir.placement.board import Board
+from roseweir.placement.plan import plan
+from roseweir.settings import Objective
+from roseweir.submissions.jobs import SERVICE
+from roseweir.tuning import Tuning
+from tests.samples import spec as job
+from tests.test_placement import NOW, TERM, Hand, new_board
+from tests.world import settings
+
+
+def board_with_aim(within_s: float) -> Board:
+    board = new_board()
+    given = msgspec.structs.replace(
+        settings(0).params,
+        objectives=[Objective(kind="wait", share=0.9, job_class="viewer", within_s=within_s)],
+    )
+    fresh = Board(msgspec.structs.replace(settings(0), params=given), Tuning(), TERM, NOW)
+    fresh.catalog = board.catalog
+    return fresh
+
+
+def viewer(number: int, tasks: int = 4) -> object:
+    return job(
+        number, job_class="viewer", kind=SERVICE, tasks=tasks, cpus=2.0, priority=0, spread=True, spot=False, image="v"
+    )
+
+
+def full(within_s: float = 1.0) -> tuple[Board, list[Hand]]:
+    board = board_with_aim(within_s)
+    hands = [Hand(board, f"i-{n:03d}", "cpu", "ab"[n % 2]) for n in range(40)]
+    for hand in hands:
+        hand.report(NOW)
+    board.add_job(viewer(1), 1)  # type: ignore[arg-type]
+    board.add_job(job(2, tasks=400, cpus=1.0, priority=2, image="w"), 2)
+    plan(board, NOW)
+    return board, hands
+
+
+def test_lower_work_leaves_room_in_each_zone_and_the_next_service_starts_at_once() -> None:
+    board, _ = full()
+    assert len(board.jobs["j-000001"].placed) == 4
+    # Two jobs' worth in each zone: half of four tasks, twice, of 2 CPUs.
+    free = {z: sum(m.free_cpus for m in board.machines.values() if m.zone == z) for z in "ab"}
+    assert free == {"a": 8.0, "b": 8.0}
+    board.add_job(viewer(3), 3)  # type: ignore[arg-type]
+    plan(board, NOW)
+    assert len(board.jobs["j-000003"].placed) == 4
+    zones = [p.machine.zone for p in board.jobs["j-000003"].placed.values()]
+    assert zones.count("a") == zones.count("b") == 2
+
+
+def test_nothing_is_kept_where_machines_boot_in_time() -> None:
+    """4 s is what they take here: a class that may wait longer can be rented for."""
+    board, _ = full(within_s=30.0)
+    assert board.headroom.kept == {}
+    assert sum(m.free_cpus for m in board.machines.values()) == 0
+
+
+def test_no_more_than_a_part_of_a_zone_is_kept() -> None:
+    board = board_with_aim(1.0)
+    for n in range(8):
+        Hand(board, f"i-{n:03d}", "cpu", "ab"[n % 2]).report(NOW)
+    board.add_job(viewer(1, tasks=30), 1)  # type: ignore[arg-type]
+    board.add_job(job(2, tasks=400, cpus=1.0, priority=2), 2)
+    plan(board, NOW)
+    # 6% of the 32 CPUs of a zone is less than a task.
+    assert board.headroom.kept == {}
+
+
+def test_work_of_the_same_rank_or_within_a_guarantee_need_not_leave_it() -> None:
+    board, _ = full()
+    same = board.add_job(job(4, tasks=8, cpus=1.0, priority=0), 4)
+    plan(board, NOW + seconds(1))
+    assert len(same.placed) == 8
--- a/tests/test_look.py
+++ b/tests/test_look.py
@@ -32,7 +32,7 @@
         and ends <= reserved.get(m.name, FOREVER)
         and not planning._promised_away(board, m, spec, now)
         and m.name not in run.error_machines
-        and m.room(spec, reserves.get(m.name, 0.0)) > 0
+        and reserves.room(m, spec) > 0
         and not any(limit.matches(spec, m) for limit in unwanted)
     ]
     return sorted(fit, key=lambda m: planning._score(look, spec, m))
@@ -43,7 +43,7 @@
     """Nothing of what was found out for one job serves another."""
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(planning, "_candidates", scan)
-        patch.setattr(Look, "is_full", lambda self, spec: False)
+        patch.setattr(Look, "is_full", lambda self, spec, leaves: False)
         patch.setattr(Look, "soonest", soonest)
         patch.setattr(Look, "_timeline", fresh_timeline)
         patch.setattr(Machine, "has_image", has_image)
