Lower work makes room for CPU-only work that must start at once

Protocol: a task may be stopped for a job of higher priority. Change: after 0.3 s without room, a class whose aim is shorter than a boot has the work of lower rank stopped that loses least.

--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -19,6 +19,8 @@
 
 # How long a job waits for room to come free by itself before it takes it from others.
 PREEMPT_AFTER = timedelta(seconds=1)
+# The same for work that must start at once, where the room kept for it was not enough.
+CLEAR_AFTER = timedelta(milliseconds=300)
 # How long a machine is kept for the job that others were stopped for on it.
 PROMISE = timedelta(seconds=15)
 # Spilled work keeps whole machines clear, for this many starts of the largest GPU task or gang.
@@ -170,7 +172,10 @@
             if not candidates and not unwanted:
                 full.add(shape)
             if placed < count:
-                _make_room(look, run, count - placed, reserved)
+                if spec.gpus > 0:
+                    _make_room(look, run, count - placed, reserved)
+                elif board.headroom.urgent(spec):
+                    _clear_cpus(look, run, count - placed, reserves)
     if not reserves.kept:
         board.headroom.keep(open_machines, board.prompt_images)
     return result
@@ -303,14 +308,14 @@
     return (wasted, scarce, precious, image, left)
 
 
-def _zone_room(run: JobRun, machine: Machine) -> int:
-    """What `one_zone` and `spread` leave for this machine, against every task that may be somewhere."""
+def _zone_room(run: JobRun, zone: str) -> int:
+    """What `one_zone` and `spread` leave for a zone, against every task that may be somewhere."""
     spec = run.spec
     most = 1 << 30
-    if spec.one_zone and any(p.machine.zone != machine.zone for p in run.placed.values()):
+    if spec.one_zone and any(p.machine.zone != zone for p in run.placed.values()):
         return 0
     if spec.spread:
-        most = (spec.tasks + 1) // 2 - run.placed_in_zone(machine.zone)
+        most = (spec.tasks + 1) // 2 - run.placed_in_zone(zone)
     return max(0, most)
 
 
@@ -325,7 +330,7 @@
         cached = machine.has_image(spec.image)
         if not cached and machine.zone in blocked_zones:
             continue
-        here = min(count - placed, reserves.room(machine, spec), _zone_room(run, machine))
+        here = min(count - placed, reserves.room(machine, spec), _zone_room(run, machine.zone))
         if here <= 0:
             continue
         # A blocked start is skipped, not held: another machine, or the next pass, may do.
@@ -416,8 +421,6 @@
     the first was lost again before the last was there.
     """
     board, now, spec = look.board, look.now, run.spec
-    if spec.gpus <= 0:
-        return
     wanted = run.pending if spec.kind == GANG else 1
     zones = _zones(look, run)
 
@@ -451,6 +454,41 @@
         board.barren[key] = (wanted, now)
 
 
+def _clear_cpus(look: Look, run: JobRun, missing: int, reserves: Reserves) -> None:
+    """Stop lower work where the headroom was not enough for tasks that must start at once, the least work lost first.
+
+    What comes free so is the first's in the queue, which is this job or one before it, so nothing is promised.
+    """
+    board, now, spec = look.board, look.now, run.spec
+    if now - run.first_wait < CLEAR_AFTER or now - run.looked < LOOK_AGAIN:
+        return
+    run.looked = now
+    left = {zone: _zone_room(run, zone) for zone in {m.zone for m in look.machines}}
+    found: list[tuple[bool, float, str, Machine, list[Placement]]] = []
+    for machine in look.machines:
+        wanted = min(missing, left[machine.zone])
+        if wanted <= 0 or machine.name in reserves.gpus or machine.name in run.error_machines:
+            continue
+        if not suits(spec, machine) or not spec.fits(machine.type) or _promised_away(board, machine, spec, now):
+            continue
+        slots = _slots(board, run, machine, wanted, now)
+        found += [(machine.type.gpus > 0, lost, name, machine, victims) for lost, name, _, victims in slots]
+    found.sort(key=lambda slot: slot[:3])
+    for _, _, _, machine, victims in found:
+        if missing <= 0:
+            break
+        if left[machine.zone] <= 0:
+            continue
+        left[machine.zone] -= 1
+        missing -= 1
+        for victim in victims:
+            log.info("stopping %s on %s for %s", victim.name, machine.name, spec.id)
+            board.stop_gently(victim, now, urgent=True)
+        if victims:
+            board.changed = True
+            look.room_came_free()
+
+
 def _zones(look: Look, run: JobRun) -> list[str | None]:
     """Where all of the job's tasks may go together; None: anywhere."""
     if not run.spec.one_zone:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -8,7 +8,7 @@
 from roseweir.cloud import desk as cloud_desk
 from roseweir.leadership.leadership import Term
 from roseweir.placement.board import Board
-from roseweir.placement.model import JobRun, Machine, Phase, Placement
+from roseweir.placement.model import JobRun, Phase, Placement
 from roseweir.placement.recorder import Recorder
 from roseweir.state import StateClient
 from roseweir.submissions import desk
@@ -90,7 +90,7 @@
 def no_zones(patch: pytest.MonkeyPatch) -> None:
     from roseweir.placement import plan
 
-    def anywhere(run: JobRun, machine: Machine) -> int:
+    def anywhere(run: JobRun, zone: str) -> int:
         return 1 << 30
 
     patch.setattr(plan, "_zone_room", anywhere)
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -4,10 +4,12 @@
 
 from roseweir.clock import seconds
 from roseweir.placement.board import Board
+from roseweir.placement.model import Phase
 from roseweir.placement.plan import plan
 from roseweir.settings import Objective
 from roseweir.submissions.jobs import SERVICE
 from roseweir.tuning import Tuning
+from roseweir.workers.messages import RUNNING
 from tests.samples import spec as job
 from tests.test_placement import NOW, TERM, Hand, new_board
 from tests.world import settings
@@ -77,3 +79,31 @@
     same = board.add_job(job(4, tasks=8, cpus=1.0, priority=0), 4)
     plan(board, NOW + seconds(1))
     assert len(same.placed) == 8
+
+
+def test_where_the_headroom_is_not_enough_lower_work_makes_room_the_shortest_run_first() -> None:
+    board, hands = full()
+    first = board.add_job(viewer(5, tasks=8), 5)  # type: ignore[arg-type]
+    second = board.add_job(viewer(6, tasks=8), 6)  # type: ignore[arg-type]
+    plan(board, NOW)
+    assert len(first.placed) == 8 and len(second.placed) == 0
+    for hand in hands:
+        hand.report(NOW)
+        hand.report(NOW)
+    low = board.jobs["j-000002"]
+    for placement in low.placed.values():
+        placement.phase, placement.state = Phase.SEEN, RUNNING
+        placement.running_since = NOW - seconds(placement.index)
+    plan(board, NOW + seconds(0.1))
+    assert not any(p.halt_at for p in low.placed.values()), "it waits for a moment"
+    plan(board, NOW + seconds(0.6))
+    stopped = [p for p in low.placed.values() if p.halt_at is not None]
+    zones = [p.machine.zone for p in stopped]
+    # 8 tasks of 2 CPUs, half of them in each zone, for victims of 1 CPU.
+    assert len(stopped) == 16 and zones.count("a") == 8
+    assert max(p.index for p in stopped) < 200
+    plan(board, NOW + seconds(0.7))
+    assert len([p for p in low.placed.values() if p.halt_at is not None]) == 16, "room is being made already"
+    board.add_job(job(7, tasks=4, priority=0, cpus=2.0), 7)
+    plan(board, NOW + seconds(2))
+    assert len([p for p in low.placed.values() if p.halt_at is not None]) == 16, "not for a class without such an aim"
