What must start at once is planned and recorded as it comes

Cause: passes are 200 ms apart and batches 190 ms at 15 changes a second; a start within 1 s waited for both. Change: a class whose aim is shorter than a boot has the next pass 20 ms after the last, with the same rest, and its batch 50 ms.

--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -102,6 +102,7 @@
         # An earlier leader may have had more.
         self.notes = [Note() for _ in range(NOTES)]
         self.work = asyncio.Event()
+        self.hurry = asyncio.Event()  # a start that must not wait is planned: the next batch goes out sooner
         # Chunks of jobs that are over, which had no room in the transaction of their end.
         self.litter: set[str] = set()
         # Who wants to know of jobs' ends as they are recorded, and how they ended.
@@ -230,7 +231,9 @@
             if not batch.ops:
                 continue
             await self._commit(batch)
-            await pause(gap)
+            await pause(BATCH_GAP)
+            await within(gap - BATCH_GAP, self.hurry.wait())
+            self.hurry.clear()
             if board.dirty_jobs or board.planned:
                 self.work.set()
 
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -32,6 +32,8 @@
 # Passes are this far apart at least, so that planning takes a bounded part of the processor. The record takes
 # a batch every 50 to 100 ms: passes much closer together only plan what waits for it.
 PLAN_GAP = timedelta(milliseconds=200)
+# But work that must start at once waits no longer than this.
+PLAN_LEAST = timedelta(milliseconds=20)
 # After a pass that took longer, planning rests for so many times as long: it may take half of the time at most.
 PLAN_REST = 1
 # Without news the board is still looked at this often: leases run out, limits refill.
@@ -74,6 +76,7 @@
         planners = [self.drain.plan] if self.ahead is None else [self.ahead.plan, self.drain.plan]
         self.cloud = CloudDesk(cloud, self.board, term.may_run, connect, planners)
         self.drain.cloud = self.cloud
+        self.hurry = asyncio.Event()  # work that must start at once has come
         self.open = False  # rebuilt: reports are taken
 
     async def run(self) -> None:
@@ -161,6 +164,8 @@
         """`revision`: what is newer than this comes again, and is counted then."""
         if value is not None:
             accepted = self.board.add_job(read_spec(value), version)
+            if self.board.headroom.urgent(accepted.spec):
+                self.hurry.set()
             self.served.account.accepted(accepted.spec)
             if self.ahead is not None and version <= revision:
                 self.ahead.learn(accepted, version)
@@ -196,7 +201,13 @@
                 self.cloud.last_pass = Pass()
             if board.dirty_machines or board.dirty_jobs:
                 self.recorder.work.set()
-            await pause(max(PLAN_GAP, (steady() - now) * PLAN_REST))
+            took = (steady() - now) * PLAN_REST
+            if any(board.headroom.urgent(p.run.spec) for p in board.planned):
+                self.recorder.hurry.set()
+            # What must start at once is planned for as it comes, with the same rest after a pass.
+            await pause(max(PLAN_LEAST, took))
+            await within(max(PLAN_GAP, took) - max(PLAN_LEAST, took), self.hurry.wait())
+            self.hurry.clear()
 
     async def _limits(self) -> None:
         """Renew leases while the cause holds: a zone with machines may see fetches."""
