--- a/roseweir/placement/record.py
+++ b/roseweir/placement/record.py
@@ -227,6 +227,10 @@
         if number is not None and self.pages[number][name] == detail:
             return
         size = size_of(name, detail)
+        if size > self.room:
+            # A value has to hold the machine's tasks; its images only make a new leader place better.
+            detail["images"] = {}
+            size = size_of(name, detail)
         if number is not None:
             others = self.totals[number] - self.sizes[number][name]
             if others + size > self.room and others > 0:
--- a/roseweir/settings.py
+++ b/roseweir/settings.py
@@ -84,7 +84,8 @@
 class StateSettings(msgspec.Struct):
     rps: Positive
     write_rps: Positive
-    value_kb: Positive
+    # A machine with 30 different jobs on it has to fit a value.
+    value_kb: Annotated[float, Meta(ge=2)]
     # A job's end and the leader's election take two changes that belong together, and a batch a note beside them.
     txn_ops: Annotated[int, Meta(ge=4)]
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -39,6 +39,7 @@
         (("params", "workers", "report_s"), 0, "report_s"),
         (("params", "state", "txn_ops"), 1.5, "txn_ops"),
         (("params", "state", "txn_ops"), 3, "txn_ops"),
+        (("params", "state", "value_kb"), 1.0, "value_kb"),
         (("params", "teams"), {}, "teams"),
         (("endpoints", "state"), None, "state"),
     ],
@@ -51,6 +52,20 @@
     assert named in said and said.count("\n") == 1
 
 
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("params", "zones"), ["only"]),
+        (("params", "zones"), ["a", "b", "c", "d", "e", "f", "g", "h", "i"]),
+        (("params", "state"), {"rps": 20.0, "write_rps": 3.0, "value_kb": 2.0, "txn_ops": 4}),
+        (("params", "teams"), [{"name": "one"}]),
+        (("params", "objectives"), []),
+    ],
+)
+def test_places_of_other_kinds_are_served(tmp_path: Path, path: tuple[str, ...], value: object) -> None:
+    assert main(["check-config", "--config", str(changed(tmp_path, *path, value=value))]) == 0
+
+
 def test_missing_file_bad_json_and_bad_log_level_exit_2(
     tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -16,7 +16,7 @@
 from roseweir.placement.board import Board
 from roseweir.placement.model import Machine, Phase
 from roseweir.placement.plan import Pass, plan
-from roseweir.placement.record import NOTES
+from roseweir.placement.record import NOTES, Pages
 from roseweir.placement.recorder import Batch, Recorder
 from roseweir.state import StateClient
 from roseweir.submissions.jobs import GANG
@@ -211,3 +211,18 @@
     monkeypatch.setattr(plan_module, "suits", counted)
     assert plan(board, now).placed == 40
     assert seen < 40 * 20
+
+
+def test_machine_full_of_small_jobs_fits_the_smallest_value_without_its_images() -> None:
+    board = new_board()
+    hand = Hand(board, "i-000001", "gpu")
+    hand.report(NOW)
+    machine = board.machines["i-000001"]
+    for number in range(16):
+        machine.keep_image(f"image-of-a-long-name-{number:03d}", 0.1)
+        board.add_job(job(number, cpus=1.0, image=f"image-of-a-long-name-{number:03d}"), 1)
+    plan(board, NOW)
+    pages = Pages(2 * 1024)
+    pages.update(board, "i-000001")
+    held = pages.value(pages.of["i-000001"])["machines"]["i-000001"]
+    assert len(orjson.dumps(pages.value(0))) <= 2 * 1024 and len(held["tasks"]) == len(machine.placements) == 8
