One job's room is kept, and one start's machines clear where gangs may wait

Cause: the fleet of the third place is full, and arrays get what services leave: 344 CPUs stood free for two starts of gangs that may wait 150 s, 48 for services. Change: machines are kept clear for one start where every class with GPUs may wait two minutes; room for one job of each class.

--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -44,6 +44,8 @@
 ON_TIME, SEARCH = timedelta(seconds=0.75), timedelta(seconds=5)
 # By how much two of its reports may be late before nothing is started on it.
 LATE = timedelta(seconds=1.5)
+# An aim for starting within so long leaves time to wait for a machine to come clear.
+LENIENT = timedelta(seconds=120)
 # An estimate says little about a task that has only just begun.
 RATIO_WEIGHT = 0.2
 
@@ -93,6 +95,13 @@
         self.spill_until = NEVER
         # Images of classes whose aims are about starting soon.
         self.prompt_images: set[str] = set()
+        # Spilled work keeps whole machines clear, for so many starts of the largest GPU task or gang. Where all classes
+        # may wait for longer than most tasks take, the machines that come clear by themselves do for the second.
+        self._waits: dict[str | None, timedelta] = {}
+        for o in settings.params.objectives:
+            if o.kind == "wait" and o.within is not None:
+                self._waits[o.job_class] = min(o.within, self._waits.get(o.job_class, o.within))
+        self._gpu_wait = ZERO  # the shortest such aim of classes with GPUs seen; zero: not known
         # Room for classes that must start at once.
         self.headroom = Headroom.of(settings.params.objectives)
         self._prompt_classes = {o.job_class for o in settings.params.objectives if o.kind == "wait"}
@@ -132,6 +141,9 @@
                 self.least_gpus = min(self.least_gpus, spec.gpus)
                 self.gpu_cpus = max(self.gpu_cpus, spec.cpus / spec.gpus)
                 self.gpu_most = max(self.gpu_most, spec.gpus)
+                aim = self._waits.get(spec.job_class)
+                if aim is not None:
+                    self._gpu_wait = min(aim, self._gpu_wait or aim)
                 if spec.kind == GANG:
                     self.gang_most = max(self.gang_most, spec.tasks)
             else:
@@ -142,6 +154,10 @@
             self.changed = True
         return run
 
+    @property
+    def clear_starts(self) -> int:
+        return 1 if self._gpu_wait >= LENIENT else 2
+
     def end_job(self, job_id: str, ended: Ended, now: datetime) -> None:
         """The state service holds that the job is over."""
         run = self.jobs.get(job_id)
--- a/roseweir/placement/headroom.py
+++ b/roseweir/placement/headroom.py
@@ -18,7 +18,7 @@
 from roseweir.settings import Objective
 from roseweir.submissions.jobs import JobSpec, MachineType
 
-JOBS = 2
+JOBS = 1
 PART = 0.06
 
 
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -23,8 +23,6 @@
 CLEAR_AFTER = timedelta(milliseconds=300)
 # How long a machine is kept for the job that others were stopped for on it.
 PROMISE = timedelta(seconds=15)
-# Spilled work keeps whole machines clear, for this many starts of the largest GPU task or gang.
-CLEAR_STARTS = 2
 # After a look for others to stop, that long until the next.
 LOOK_AGAIN = timedelta(milliseconds=500)
 
@@ -214,7 +212,7 @@
     if now >= board.spill_until:
         return {m.name: board.gpu_cpus for m in gpu_machines}
     reserves: dict[str, float] = {}
-    clear = CLEAR_STARTS * board.gang_most
+    clear = board.clear_starts * board.gang_most
     gpu_machines.sort(key=lambda m: (m.spot, m.cpu_only, -m.free_gpus))
     for machine in gpu_machines:
         starts = int((machine.free_gpus + 1e-6) / board.gpu_most) if board.gpu_most > 0 else 0
