--- a/roseweir/placement/headroom.py
+++ b/roseweir/placement/headroom.py
@@ -58,11 +58,6 @@
             self.classes[spec.job_class] = Urgent(spec)
             self.classes[spec.job_class].learn(spec)
 
-    @property
-    def leaves_ordinary(self) -> bool:
-        """Whether work that may run on spot machines leaves the others to a class that must start at once."""
-        return any(not each.spec.spot for each in self.classes.values())
-
     def urgent(self, spec: JobSpec) -> bool:
         return spec.job_class in self.classes
 
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -299,9 +299,7 @@
         image = 1.0
     wasted = float(spec.gpus <= 0 < machine.type.gpus)
     # Work that may run on spot GPUs leaves the others to work that may not, and costs less there.
-    # So does CPU-only work where a class that must start at once may not run there.
-    prefers_spot = spec.gpus > 0 or look.board.headroom.leaves_ordinary
-    scarce = float(prefers_spot and spec.spot and not machine.spot)
+    scarce = float(spec.gpus > 0 and spec.spot and not machine.spot)
     # A class that must start soon has no time to fetch: machines that hold its images are taken last.
     precious = 0.0 if spec.image in look.board.prompt_images else look.precious(machine)
     left = machine.free_gpus if spec.gpus > 0 else machine.free_cpus / machine.type.cpus
