--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -303,6 +303,9 @@
     # A class that must start soon has no time to fetch: machines that hold its images are taken last.
     precious = 0.0 if spec.image in look.board.prompt_images else look.precious(machine)
     left = machine.free_gpus if spec.gpus > 0 else machine.free_cpus / machine.type.cpus
+    if look.board.headroom.urgent(spec):
+        # A fetch takes longer than it may.
+        return (image, wasted, scarce, precious, left)
     return (wasted, scarce, precious, image, left)
 
 
@@ -471,7 +474,8 @@
             continue
         slots = _slots(board, run, machine, wanted, now)
         found += [(machine.type.gpus > 0, lost, name, machine, victims) for lost, name, _, victims in slots]
-    found.sort(key=lambda slot: slot[:3])
+    # With the image at hand first, as far as a fetch is worth.
+    found.sort(key=lambda slot: (slot[1], slot[0], slot[2]))
     for _, _, _, machine, victims in found:
         if missing <= 0:
             break
