--- a/roseweir/placement/headroom.py
+++ b/roseweir/placement/headroom.py
@@ -67,17 +67,18 @@
             return False
         return any(run.spec.priority > each.spec.priority for each in self.classes.values())
 
-    def keep(self, machines: Iterable[Machine], images: set[str]) -> None:
+    def keep(self, machines: Iterable[Machine], images: set[str]) -> dict[str, tuple[float, float]]:
         """See anew where the room is kept, of what is free now. `images`: of classes that must start soon."""
         self.kept = {}
         if not self.classes:
-            return
+            return self.kept
         zones: dict[str, list[Machine]] = {}
         for machine in machines:
             zones.setdefault(machine.zone, []).append(machine)
         for urgent in self.classes.values():
             for zone in zones.values():
                 self._keep(urgent, zone, images)
+        return self.kept
 
     def _keep(self, urgent: Urgent, machines: list[Machine], images: set[str]) -> None:
         spec = urgent.spec
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -112,7 +112,6 @@
     open_machines = usable(board, now)
     look = Look(board, open_machines, now)
     reserves = Reserves(_reserves(board, open_machines, now))
-    board.headroom.kept = {}
     waiting = queue(board)
     board.least_cpus = min((run.spec.cpus for run in waiting if run.spec.gpus <= 0), default=inf)
     board.least_gpus = min((run.spec.gpus for run in waiting if run.spec.gpus > 0), default=inf)
@@ -140,10 +139,9 @@
         if count <= 0 or (spec.kind == GANG and count < wanted and not run.placed):
             continue
         leaves = board.headroom.leaves(run)
-        if leaves and not reserves.kept:
+        if leaves and reserves.kept is None:
             # Those that come before have what they could have; what is free now is kept.
-            board.headroom.keep(open_machines, board.prompt_images)
-            reserves.kept = board.headroom.kept
+            reserves.kept = board.headroom.keep(open_machines, board.prompt_images)
         shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot, tuple(spec.types or ("*",)), leaves)
         if shape in full and not run.error_machines:
             result.left.append((run, allowed))
@@ -174,7 +172,7 @@
                     _make_room(look, run, count - placed, reserved)
                 elif board.headroom.urgent(spec):
                     _clear_cpus(look, run, count - placed, reserves)
-    if not reserves.kept:
+    if reserves.kept is None:
         board.headroom.keep(open_machines, board.prompt_images)
     return result
 
@@ -193,12 +191,12 @@
     """What a job has to leave free on machines: CPUs for each GPU, and the headroom."""
 
     gpus: dict[str, float]
-    kept: dict[str, tuple[float, float]] = field(default_factory=dict)
+    kept: dict[str, tuple[float, float]] | None = None  # None: not looked for yet
     leaves: bool = False  # the job at hand leaves the headroom alone
 
     def room(self, machine: Machine, spec: JobSpec) -> int:
         reserve = self.gpus.get(machine.name, 0.0)
-        kept = self.kept.get(machine.name) if self.leaves else None
+        kept = self.kept.get(machine.name) if self.leaves and self.kept is not None else None
         return machine.room(spec, reserve) if kept is None else machine.room(spec, reserve, kept)
 
 
