A service whose replicas run well is not at fault for the machines that fail it

Cause: a service is never done, so failures were summed up over its life: after three faulty machines it counted as mistaken and went behind all lower work, after six failures its replicas waited for the restart limit of 30 s each. Change: other replicas that have run for 10 s speak for the job; a machine that failed such a one at once goes back.

--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -37,6 +37,8 @@
 SLOW_JOBS, SLOW_FACTOR, SLOW_TASKS, SLOW_PEERS = 2, 2.0, 3, 4
 # Boots that tell how long the next ones may take: so many, and for how long.
 BOOTS_KEPT, BOOTS_FOR = 20, timedelta(minutes=3)
+# A replica that ran so long speaks for its service; one that failed within so long of its start, against its machine.
+RUNS_WELL, AT_ONCE = timedelta(seconds=10), timedelta(seconds=5)
 # Phases in which a machine may have heard of a task.
 STARTED = (Phase.SENT, Phase.SEEN, Phase.RECORDED)
 # By how much a worker's report may be later than two of its intervals: one that is with this leader, and one in
@@ -154,6 +156,12 @@
             self.changed = True
         return run
 
+    def hear_out(self, now: datetime) -> None:
+        """A service that was taken for mistaken as it began may run well by now."""
+        for run in self.jobs.values():
+            if run.mistaken and _runs_well(run, None, now):
+                run.sound = True
+
     @property
     def clear_starts(self) -> int:
         return 1 if self._gpu_wait >= LENIENT else 2
@@ -569,7 +577,14 @@
     def _failed(self, placement: Placement, now: datetime) -> None:
         """A faulty machine fails tasks of several jobs; a mistaken job fails on several machines."""
         run, machine = placement.run, placement.machine
-        run.failures += 1
+        # A service is never done, so its failures were summed up over its life: after the third faulty machine it
+        # counted as mistaken and went last, and after the sixth failure its replicas waited for the restart limit, as
+        # if the job were at fault. Replicas that run say otherwise.
+        runs_elsewhere = _runs_well(run, placement, now)
+        if runs_elsewhere:
+            run.sound = True
+        else:
+            run.failures += 1
         run.error_machines.add(machine.name)
         if run.mistaken:
             # The job speaks against itself, not against the machines that it failed on.
@@ -582,7 +597,7 @@
             if self.watcher is not None:
                 self.watcher.failed(machine, run, now)
             machine.sick_until = max(machine.sick_until, now + PAUSED)
-            proven = run.done_count > 0 and run.failures >= 2
+            proven = (run.done_count > 0 and run.failures >= 2) or (runs_elsewhere and _fell_at_once(placement, now))
             if (len(machine.suspect_jobs) >= SICK_JOBS or proven) and not machine.leaving:
                 log.info("machine %s fails tasks of %d jobs and goes back", machine.name, len(machine.suspect_jobs))
                 machine.leaving = True
@@ -705,6 +720,18 @@
         return now - max(machine.heard, self.began)
 
 
+def _runs_well(run: JobRun, but: Placement | None, now: datetime) -> bool:
+    """Whether (other) replicas of a service have been running for a while."""
+    return run.spec.kind == SERVICE and any(
+        p is not but and p.state == wire.RUNNING and p.running_since is not None and now - p.running_since >= RUNS_WELL
+        for p in run.placed.values()
+    )
+
+
+def _fell_at_once(placement: Placement, now: datetime) -> bool:
+    return placement.running_since is None or now - placement.running_since < AT_ONCE
+
+
 def holdover(settings: Settings) -> timedelta:
     """How long a leader without news of cancels may go on answering reports.
 
--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -73,6 +73,7 @@
     over: str = ""  # "", "done" or "cancelled"; only what the state service holds
     failures: int = 0
     error_machines: set[str] = field(default_factory=set)
+    sound: bool = False  # a service whose replicas have run well: what fails is not its own fault
     attempt: int = 0  # of a gang that is on machines
     stopping: bool = False  # a gang that falls apart: every mate must go before it restarts
     covered: bool = False
@@ -95,7 +96,7 @@
     @property
     def mistaken(self) -> bool:
         """It failed on several machines and succeeded nowhere: the fault is most likely its own."""
-        return len(self.error_machines) >= MISTAKEN_MACHINES and self.done_count == 0
+        return len(self.error_machines) >= MISTAKEN_MACHINES and self.done_count == 0 and not self.sound
 
     @property
     def complete(self) -> bool:
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -109,6 +109,7 @@
 def plan(board: Board, now: datetime) -> Pass:
     result = Pass()
     mark_covered(board)
+    board.hear_out(now)
     open_machines = usable(board, now)
     look = Look(board, open_machines, now)
     reserves = Reserves(_reserves(board, open_machines, now))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -16,7 +16,7 @@
 from roseweir.placement.plan import Pass, plan
 from roseweir.placement.record import Note, Pages
 from roseweir.placement.recorder import Found
-from roseweir.submissions.jobs import GANG, MachineType
+from roseweir.submissions.jobs import GANG, SERVICE, MachineType
 from roseweir.tuning import Tuning
 from roseweir.workers.messages import Report, TaskReport
 from tests.samples import spec as job
@@ -485,3 +485,37 @@
     hand.ends("j-000001/0", "halted")
     assert [o["verb"] for o in hand.report(NOW + timedelta(seconds=1))] == ["clear"]
     assert "j-000001" not in board.jobs
+
+
+def test_service_that_runs_well_is_not_at_fault_for_the_machines_that_fail_it() -> None:
+    """Its failures summed up over its life: after three faulty machines it went behind all lower work."""
+    board = new_board()
+    hands = [Hand(board, f"i-{n}") for n in range(6)]
+    for hand in hands:
+        hand.report(NOW)
+    service = board.add_job(job(1, kind=SERVICE, tasks=12, cpus=4.0, priority=0), 1)
+    start(board, NOW, *hands)
+    later = NOW + seconds(30)
+    for number, hand in enumerate(hands[:4]):
+        at = later + seconds(number)
+        for placement in hand.machine.placements.values():
+            placement.running_since = at - seconds(1)
+        fail(hand, service, at)
+        assert hand.machine.leaving, "it failed a sound service at once"
+        assert not service.mistaken and service.failures == 0
+    assert "restart:j-000001" not in board.limits.by_tag
+
+
+def test_service_that_fails_wherever_it_starts_is_mistaken() -> None:
+    board = new_board()
+    hands = [Hand(board, f"i-{n}") for n in range(4)]
+    for hand in hands:
+        hand.report(NOW)
+    service = board.add_job(job(1, kind=SERVICE, tasks=8, cpus=4.0, priority=0), 1)
+    start(board, NOW, *hands)
+    for hand in hands[:3]:
+        fail(hand, service, NOW + seconds(2))
+    assert service.mistaken and not any(h.machine.leaving for h in hands)
+    # The last one's replicas go on, and speak for it.
+    plan(board, NOW + seconds(20))
+    assert not service.mistaken
