Services that have waited may use machines kept clear for GPU work of lower rank

Change: after 5 s without room, a class that must start at once and comes before all GPU work need not leave them clear.

--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -90,6 +90,7 @@
         self.ratios: dict[str, float] = {}
         # The least that a waiting task takes, of those without and those with GPUs, since the last pass.
         self.least_cpus = self.least_gpus = 0.0
+        self.gpu_priority = 1 << 30  # the highest rank of GPU work seen: lower numbers come first
         self.gpu_most = 0.0  # GPUs of the largest task seen
         self.gang_most = 1  # tasks of the largest GPU gang seen
         self.gpu_cpus = 0.0  # CPUs that GPU jobs bring along for each GPU, the most seen
@@ -143,6 +144,7 @@
                 self.least_gpus = min(self.least_gpus, spec.gpus)
                 self.gpu_cpus = max(self.gpu_cpus, spec.cpus / spec.gpus)
                 self.gpu_most = max(self.gpu_most, spec.gpus)
+                self.gpu_priority = min(self.gpu_priority, spec.priority)
                 aim = self._waits.get(spec.job_class)
                 if aim is not None:
                     self._gpu_wait = min(aim, self._gpu_wait or aim)
--- a/roseweir/placement/headroom.py
+++ b/roseweir/placement/headroom.py
@@ -12,14 +12,18 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import datetime, timedelta
 
+from roseweir.clock import NEVER
 from roseweir.placement.model import JobRun, Machine, how_many
 from roseweir.settings import Objective
 from roseweir.submissions.jobs import JobSpec, MachineType
 
 JOBS = 1
 PART = 0.06
+# After so long without room it may use machines that are kept clear for GPU work of lower rank: replicas waited a
+# minute in a zone that was full but for those (third place, rough).
+WAIVED_AFTER = timedelta(seconds=5)
 
 
 @dataclass(slots=True)
@@ -67,6 +71,12 @@
             return False
         return any(run.spec.priority > each.spec.priority for each in self.classes.values())
 
+    def may_waive(self, run: JobRun, gpu_priority: int, now: datetime) -> bool:
+        """Whether the job need not leave GPU machines clear. `gpu_priority`: the highest rank of GPU work seen."""
+        if run.spec.job_class not in self.classes or run.spec.priority >= gpu_priority:
+            return False
+        return run.first_wait != NEVER and now - run.first_wait >= WAIVED_AFTER
+
     def keep(self, machines: Iterable[Machine], images: set[str]) -> dict[str, tuple[float, float]]:
         """See anew where the room is kept, of what is free now. `images`: of classes that must start soon."""
         self.kept = {}
--- a/roseweir/placement/look.py
+++ b/roseweir/placement/look.py
@@ -69,7 +69,7 @@
         self._order: list[tuple[datetime, str, Machine]] | None = None
         self._estimates: dict[JobRun, timedelta] = {}
         # What no machine has room for, by what the job allows.
-        self._full: dict[tuple[Demand, bool], list[Size]] = {}
+        self._full: dict[tuple[Demand, int], list[Size]] = {}
 
     def rank(self, machine: Machine) -> int:
         return self._rank[machine.name]
@@ -103,18 +103,18 @@
 
     # -- what has no room ---------------------------------------------------------------------
 
-    def is_full(self, spec: JobSpec, leaves: bool) -> bool:
+    def is_full(self, spec: JobSpec, access: int) -> bool:
         """No machine has room for a task that takes no more than one of this job, and allows the same.
 
-        `leaves`: the headroom is left alone.
+        `access`: what it may use of the room that is kept for others; jobs that differ in it say nothing of each other.
         """
         return any(
             size[0] <= spec.cpus and size[1] <= spec.gpus and size[2] <= spec.memory_gb
-            for size in self._full.get((demand_of(spec), leaves), ())
+            for size in self._full.get((demand_of(spec), access), ())
         )
 
-    def note_full(self, spec: JobSpec, leaves: bool) -> None:
-        self._full.setdefault((demand_of(spec), leaves), []).append(size_of(spec))
+    def note_full(self, spec: JobSpec, access: int) -> None:
+        self._full.setdefault((demand_of(spec), access), []).append(size_of(spec))
 
     def room_came_free(self) -> None:
         """Somebody was stopped: what had no room may have some, and sooner."""
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -143,13 +143,22 @@
         if leaves and reserves.kept is None:
             # Those that come before have what they could have; what is free now is kept.
             reserves.kept = board.headroom.keep(open_machines, board.prompt_images)
-        shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot, tuple(spec.types or ("*",)), leaves)
+        reserves.leaves = leaves
+        reserves.waives = board.headroom.may_waive(run, board.gpu_priority, now)
+        shape = (
+            spec.cpus,
+            spec.gpus,
+            spec.memory_gb,
+            spec.zone,
+            spec.spot,
+            tuple(spec.types or ("*",)),
+            reserves.access,
+        )
         if shape in full and not run.error_machines:
             result.left.append((run, allowed))
             continue
         candidates: list[Machine] = []
-        reserves.leaves = leaves
-        if not look.is_full(spec, leaves):
+        if not look.is_full(spec, reserves.access):
             candidates = _candidates(look, run, roomy[spec.gpus > 0], reserved, unwanted, reserves)
         if spec.kind == GANG:
             placed = _place_gang(board, run, wanted, candidates, reserves, now)
@@ -194,9 +203,15 @@
     gpus: dict[str, float]
     kept: dict[str, tuple[float, float]] | None = None  # None: not looked for yet
     leaves: bool = False  # the job at hand leaves the headroom alone
+    waives: bool = False  # it has waited, and comes before all work with GPUs
+
+    @property
+    def access(self) -> int:
+        """What is full for one job may have room for another."""
+        return 2 if self.waives else int(self.leaves)
 
     def room(self, machine: Machine, spec: JobSpec) -> int:
-        reserve = self.gpus.get(machine.name, 0.0)
+        reserve = 0.0 if self.waives else self.gpus.get(machine.name, 0.0)
         kept = self.kept.get(machine.name) if self.leaves and self.kept is not None else None
         return machine.room(spec, reserve) if kept is None else machine.room(spec, reserve, kept)
 
@@ -266,7 +281,7 @@
             continue
         found.append((*_score(look, spec, machine), look.rank(machine), machine))
     if full:
-        look.note_full(spec, reserves.leaves)
+        look.note_full(spec, reserves.access)
     found.sort()
     return [scored[-1] for scored in found]
 
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -107,3 +107,20 @@
     board.add_job(job(7, tasks=4, priority=0, cpus=2.0), 7)
     plan(board, NOW + seconds(2))
     assert len([p for p in low.placed.values() if p.halt_at is not None]) == 16, "not for a class without such an aim"
+
+
+def test_after_a_while_it_uses_machines_kept_clear_for_gpu_work_of_lower_rank() -> None:
+    board = board_with_aim(1.0)
+    hands = [Hand(board, f"i-{n:03d}", "gpu", "ab"[n % 2]) for n in range(2)]
+    for hand in hands:
+        hand.report(NOW)
+    board.add_job(job(1, tasks=1, gpus=2.0, cpus=8.0, priority=2, zone="c"), 1)
+    run = board.add_job(viewer(2), 2)  # type: ignore[arg-type]
+    plan(board, NOW)
+    assert len(run.placed) == 0, "all CPUs of the machines come with their GPUs"
+    plan(board, NOW + seconds(4))
+    assert len(run.placed) == 0
+    for hand in hands:
+        hand.report(NOW + seconds(5))
+    plan(board, NOW + seconds(5))
+    assert len(run.placed) == 4
--- a/tests/test_look.py
+++ b/tests/test_look.py
@@ -43,7 +43,7 @@
     """Nothing of what was found out for one job serves another."""
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(planning, "_candidates", scan)
-        patch.setattr(Look, "is_full", lambda self, spec, leaves: False)
+        patch.setattr(Look, "is_full", lambda self, spec, access: False)
         patch.setattr(Look, "soonest", soonest)
         patch.setattr(Look, "_timeline", fresh_timeline)
         patch.setattr(Machine, "has_image", has_image)
