One-way machines, copies that come late, a lone controller: what proves what, and no more

What was found by reading and by the simulated world: a copy as a new leader's first word of a machine was believed (its old attempt took the recorded one's place, and a healthy task was stopped as a stranger's; the variant that believes words runs a task twice); a machine that hears nothing was given the same orders again and again, and its jobs waited on it; a leader without state service and peers held its workers for the whole hold-over, and a follower like that said it was healthy. Change: placement/learning.py (out of board.py) takes nothing from a report that does not show our term but that its answer may renew a lease; placement/hearing.py keeps proof and doubt of whether answers reach a machine; membership/judge.py has Solitude and Scouts.

--- a/roseweir/cloud/desk.py
+++ b/roseweir/cloud/desk.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Container, Iterable
 from datetime import datetime, timedelta
 
+import msgspec
+
 from roseweir import clock
 from roseweir.clock import NEVER, pause, seconds, steady
 from roseweir.cloud.client import RELEASE_MOST, CloudClient, NoCapacity
@@ -16,6 +18,7 @@
 from roseweir.placement.model import Machine
 from roseweir.placement.plan import Pass
 from roseweir.state import Trouble
+from roseweir.workers import messages as wire
 
 log = logging.getLogger(__name__)
 
@@ -152,15 +155,19 @@
         async def ask(machine: Machine) -> None:
             nonlocal asking
             asked = machine.asked = steady()
+            before = (machine.session, machine.seq)
             asking += 1
             accepted = True
             try:
-                await self._connect(machine.address, 0)("GET", "/status", patience=ASK_PATIENCE)
+                reply = await self._connect(machine.address, 0)("GET", "/status", patience=ASK_PATIENCE)
+                self.board.learning.learn_asked(msgspec.convert(reply.json(), wire.Report), before, steady())
             except Unreachable as e:
                 accepted = e.connected
+            except msgspec.ValidationError as e:
+                log.debug("what %s answered is no report: %s", machine.name, e)
             finally:
                 asking -= 1
-            note(machine, asked, accepted, steady())
+            note(self.board, machine, asked, accepted, steady())
 
         while True:
             await pause(DECIDE / 2)
@@ -221,7 +228,7 @@
                     # Another of the kind may not come up either: for a while others go first.
                     self.refused[machine.type.name, machine.zone, machine.spot] = now + machine.type.boot
             machine.leaving = True
-        names = [machine.name for machine, why in chosen if not machine.placements or why == "silent"]
+        names = [machine.name for machine, why in chosen if not machine.placements or why in ("silent", "deaf")]
         if not names:
             return
         try:
--- a/roseweir/cloud/plan.py
+++ b/roseweir/cloud/plan.py
@@ -145,6 +145,7 @@
             machine.leaving
             or machine.recall_at is not None
             or machine.sick_until > now
+            or machine.deaf
             or machine.name in board.drained
         ):
             continue
@@ -286,6 +287,8 @@
         elif machine.recall_at is not None and board.silent(machine, now) > workers.report * 2 + seconds(1):
             # The cloud said that it would take it, and it has fallen silent.
             found.append((machine, "silent"))
+        elif machine.deaf and is_lost(board, machine, now):
+            found.append((machine, "deaf"))
         elif now - board.talking_since.get(machine.zone, now) > patient and is_lost(board, machine, now):
             # Once the release is answered, everything on the machine is proven gone. That is sooner
             # than its lease, and much sooner than the leases that an earlier leader may have renewed.
--- a/roseweir/cloud/silence.py
+++ b/roseweir/cloud/silence.py
@@ -11,11 +11,16 @@
 its tasks gone. One that could not be asked goes after `patience`, as if there were nobody to ask.
 """
 
+import logging
 from datetime import datetime, timedelta
 
+from roseweir.clock import ZERO
 from roseweir.placement.board import SEARCH, Board
+from roseweir.placement.hearing import found_deaf, unsent
 from roseweir.placement.model import Machine
 
+log = logging.getLogger(__name__)
+
 # A report comes a quarter of its interval late at most, and its answer may have been held: this much more is overdue.
 OVERDUE = timedelta(seconds=2.5)
 # How often a silent machine is asked, how long an attempt may take, and how many must fail.
@@ -34,25 +39,38 @@
     silent = [
         m
         for m in board.machines.values()
-        if not m.booting and not m.leaving and m.address and now - m.asked >= ASK_GAP and board.silent(m, now) > overdue
+        if not m.booting
+        and not m.leaving
+        and m.address
+        and now - m.asked >= ASK_GAP
+        and (m.in_doubt or board.silent(m, now) > overdue)
     ]
     silent.sort(key=lambda m: (board.silent(m, now), m.name))
     return silent
 
 
-def note(machine: Machine, asked: datetime, accepted: bool, now: datetime) -> None:
-    """What came of asking. An attempt that ran out late says more about this node than about the machine."""
-    if machine.heard >= asked:
+def note(board: Board, machine: Machine, asked: datetime, accepted: bool, now: datetime) -> None:
+    """What came of asking. An attempt that ran out late says more about this node than about the machine.
+
+    A report since then says that a silent machine lives, and nothing about one in doubt: its reports come all the time.
+    """
+    if machine.heard >= asked and not machine.in_doubt:
         return
-    if accepted:
+    if accepted and not machine.in_doubt:
         machine.hangs, machine.misses = True, 0
     elif now - asked <= ASK_PATIENCE * 2:
         machine.hangs = False
         machine.misses += 1
+        if machine.misses >= MISSES and found_deaf(machine, now):
+            log.info("machine %s is heard, and neither answers nor commands reach it", machine.name)
+            for key in unsent(machine):
+                board.stop(machine.placements[key], ZERO, now)
 
 
 def is_lost(board: Board, machine: Machine, now: datetime) -> bool:
     """Whether it should go back: it has been silent, and waiting for it pays no longer."""
+    if machine.deaf:
+        return now - machine.deaf_since > board.lease
     silent = board.silent(machine, now)
     if machine.hangs:
         return silent > board.lease * HANGS
--- a/roseweir/forecast/tools/simulate.py
+++ b/roseweir/forecast/tools/simulate.py
@@ -25,7 +25,8 @@
 from roseweir.forecast.tools.load import Arrival
 from roseweir.forecast.tools.site import Site
 from roseweir.limits.rules import renew_class_limits, renew_fetch_limits
-from roseweir.placement.board import BOOTS_KEPT, Board
+from roseweir.placement.board import Board
+from roseweir.placement.learning import BOOTS_KEPT
 from roseweir.placement.model import JobRun, Machine, Phase, Placement
 from roseweir.placement.plan import Pass, plan
 from roseweir.submissions.jobs import GANG, SERVICE, ended
@@ -328,7 +329,7 @@
         if run.placed.get(placement.index) is not placement or placement.halt_at is not None:
             return
         now = self._steady(at)
-        self.board.remove_done(placement, now)
+        self.board.learning.remove_done(placement, now)
         run.failures = 0
         self._left_machine(machine, at)
         run.unsaved.clear()
--- a/roseweir/leadership/leadership.py
+++ b/roseweir/leadership/leadership.py
@@ -30,7 +30,7 @@
 from roseweir.clock import NEVER, pause, steady
 from roseweir.http import Unreachable
 from roseweir.leadership.messages import ASK, LEADER, PREFIX, REACH, TERM, Ask, LeaderRecord, Reach
-from roseweir.membership.judge import better_placed
+from roseweir.membership.judge import Tally, better_placed
 from roseweir.settings import Settings
 from roseweir.state import Conflict, StateClient, Trouble
 from roseweir.state.client import Expired, put
@@ -86,7 +86,9 @@
 # Asks the other controllers which leader they know: its name and term.
 AskPeers = Callable[[], Coroutine[None, None, tuple[str, int] | None]]
 # Which of these workers (names and addresses) answer this node, and which came to it some moments ago.
-Probe = Callable[[dict[str, str]], Coroutine[None, None, tuple[list[str], list[str]]]]
+Probe = Callable[[dict[str, str]], Coroutine[None, None, tuple[list[str], dict[str, Tally]]]]
+# Most workers' reports are missed: who they are, and the newest tally of each.
+Missing = Callable[[], dict[str, Tally]]
 
 
 class Leadership:
@@ -104,6 +106,11 @@
         self.leader: LeaderRecord | None = None
         self.term: Term | None = None
         self.faults = 0
+        # What a leader does that can ask nobody whether it still leads, and as it is sure again.
+        self.unsure: Callable[[datetime], None] = lambda now: None
+        self.sure: Callable[[], None] = lambda: None
+        # Whoever wants to know the terms that the state service tells of.
+        self.learnt: Callable[[int], None] = lambda term: None
 
     async def run(self) -> None:
         async with asyncio.TaskGroup() as group:
@@ -139,6 +146,7 @@
         found = None if value is None else msgspec.convert(value, LeaderRecord)
         if found is not None and (self.leader is None or found.term != self.leader.term):
             log.info("leader is %s, term %d", found.name, found.term)
+            self.learnt(found.term)
         self.leader = found
 
     def _is_former_self(self) -> bool:
@@ -189,7 +197,7 @@
             reached, came = await self._probe(ask.workers)
             if not reached and not came:
                 self._stand_back()
-            answer = Reach(ask.term, ask.number, reached, came)
+            answer = Reach(ask.term, ask.number, reached, sorted(came), came)
             try:
                 await self.state.txn([], [put(REACH + self.settings.name, msgspec.to_builtins(answer))])
             except (Trouble, Unreachable, Conflict, Expired) as e:
@@ -198,7 +206,7 @@
     def _stand_back(self) -> None:
         self.reserve_until = steady() + RESERVE
 
-    async def resign_if_unheard(self, workers: dict[str, str], missing: Callable[[], set[str]]) -> None:
+    async def resign_if_unheard(self, workers: dict[str, str], missing: Missing) -> None:
         """Most workers have not reported in time: make way if another node reaches them, and this one does not.
 
         Right after a cut of all nodes others reach them too, and so does this one. Those that came to another
@@ -263,6 +271,7 @@
                 return None
             version = found.version
         self.leader = record
+        self.learnt(number)
         return Term(number, lease, version, sent)
 
     async def _lead(self, term: Term) -> None:
@@ -302,6 +311,7 @@
                 term.renewed(sent)
                 if failing:
                     log.info("renewals go through again")
+                    self.sure()
                 failing = False
                 wait = RENEW - (steady() - sent)
             except Expired:
@@ -327,3 +337,6 @@
             name, number = found
             self._successor = LeaderRecord(name, "", number, 0)
             term.end(f"{name} leads with term {number}")
+        elif found is None:
+            # No peer answers, or none knows any leader: workers may find one that this node does not.
+            self.unsure(steady())
--- a/roseweir/leadership/messages.py
+++ b/roseweir/leadership/messages.py
@@ -32,3 +32,4 @@
     number: int
     reached: list[str]
     came: list[str]
+    tallies: dict[str, tuple[int, int]] = {}  # newest of those that came: a copy that came late is older
--- a/roseweir/membership/desk.py
+++ b/roseweir/membership/desk.py
@@ -11,7 +11,7 @@
 from roseweir.clock import pause, seconds, steady
 from roseweir.http import Connect, Transport, Unreachable
 from roseweir.leadership.messages import TERM
-from roseweir.membership.judge import LOOK, Callers, Finding, Vigil, is_alone, latest, some_of
+from roseweir.membership.judge import LOOK, Callers, Finding, Solitude, Tally, Vigil, latest, some_of
 from roseweir.settings import Settings
 from roseweir.state import StateClient, Trouble
 from roseweir.workers import messages as wire
@@ -26,6 +26,8 @@
 
 # Names and addresses of workers.
 Workers = dict[str, str]
+# Workers that are missed: address and newest tally of each.
+Overdue = dict[str, tuple[str, Tally]]
 
 
 class Membership:
@@ -34,8 +36,10 @@
         self._connect = connect
         self._peers = {peer.name: connect(peer.address, KEPT) for peer in settings.peers}
         self._callers = Callers()
-        # The state service refuses this node, but not a peer.
-        self.alone = False
+        # The state service refuses this node, but not its peers.
+        self.solitude = Solitude()
+        # The latest term that a worker has shown since the state service was last reached, and the one known then.
+        self._shown = self._known = 0
 
     def peer(self, name: str) -> Transport | None:
         return self._peers.get(name)
@@ -56,15 +60,28 @@
 
     # -- the state service --------------------------------------------------------------------
 
+    @property
+    def alone(self) -> bool:
+        return self.solitude.alone
+
+    def knows_term(self, term: int) -> None:
+        """The state service told of it."""
+        self._known = max(self._known, term)
+
     async def watch_state(self) -> None:
         while True:
             await pause(CHECK)
-            failing = self.state.failing
-            reached = not failing or await self.reaches_state()
-            alone = is_alone(failing, reached, failing and not reached and await self._a_peer_reaches_state())
-            if alone != self.alone:
-                log.info("the state service is %s", "refused to this node alone" if alone else "reached or out for all")
-                self.alone = alone
+            was = self.solitude.alone
+            if not self.state.failing or await self.reaches_state():
+                self.solitude.look(False, 0, 0, False, False, steady())
+                self._shown = 0
+            else:
+                told = await asyncio.gather(*(status(p, "/reach", PROBE_PATIENCE * 2) for p in self._peers.values()))
+                answered = sum(1 for each in told if each)
+                later = self._shown > self._known > 0
+                self.solitude.look(True, len(told), answered, 200 in told, later, steady())
+            if self.solitude.alone != was:
+                log.info("the state service is %s", "reached or out for all" if was else "refused to this node alone")
 
     async def reaches_state(self) -> bool:
         try:
@@ -73,16 +90,13 @@
             return False
         return True
 
-    async def _a_peer_reaches_state(self) -> bool:
-        return any(await asyncio.gather(*(answers(p, "/reach", PROBE_PATIENCE * 2) for p in self._peers.values())))
-
     # -- the workers --------------------------------------------------------------------------
 
     async def watch_workers(
         self,
-        overdue: Callable[[], Workers],
+        overdue: Callable[[], Overdue],
         stood_still: Callable[[], None],
-        resign_if_unheard: Callable[[Workers, Callable[[], set[str]]], Coroutine[Any, Any, None]],
+        resign_if_unheard: Callable[[Workers, Callable[[], dict[str, Tally]]], Coroutine[Any, Any, None]],
     ) -> None:
         """A leader that most workers no longer reach asks whether another node should lead.
 
@@ -93,15 +107,17 @@
         while True:
             before = steady()
             await pause(LOOK)
-            missed = overdue()
+            missed = {name: address for name, (address, _) in overdue().items()}
             finding = vigil.look(before, steady(), missed)
             if finding is Finding.STOOD_STILL:
                 log.warning("stood still for %.1f s", vigil.still.total_seconds())
                 stood_still()
             elif finding is Finding.UNHEARD:
-                await resign_if_unheard(some_of(missed), lambda: set(overdue()))
+                await resign_if_unheard(
+                    some_of(missed), lambda: {name: tally for name, (_, tally) in overdue().items()}
+                )
 
-    async def probe_workers(self, workers: Workers) -> tuple[list[str], list[str]]:
+    async def probe_workers(self, workers: Workers) -> tuple[list[str], dict[str, Tally]]:
         """Which of these workers answer this node, and which came to it some moments ago."""
         known = {name: address for name, address in workers.items() if address}
         asked = (answers(self._connect(address, 0), "/status", PROBE_PATIENCE) for address in known.values())
@@ -112,14 +128,20 @@
     def note_caller(self, report: bytes) -> None:
         """A worker that reports to a node that does not lead is in search of one that does."""
         try:
-            name = msgspec.json.decode(report, type=wire.Caller).machine
+            caller = msgspec.json.decode(report, type=wire.Caller)
         except msgspec.DecodeError:
             return
-        self._callers.note(name, steady())
+        self._callers.note(caller.machine, (caller.session, caller.seq), steady())
+        self._shown = max(self._shown, caller.term)
 
 
-async def answers(send: Transport, path: str, patience: timedelta) -> bool:
+async def status(send: Transport, path: str, patience: timedelta) -> int:
+    """0: no answer."""
     try:
-        return (await send("GET", path, patience=patience)).status == 200
+        return (await send("GET", path, patience=patience)).status
     except Unreachable:
-        return False
+        return 0
+
+
+async def answers(send: Transport, path: str, patience: timedelta) -> bool:
+    return await status(send, path, patience) == 200
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -5,20 +5,18 @@
 
 import logging
 from collections import deque
-from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
-from functools import lru_cache
 from typing import Any
 
 from roseweir.clock import NEVER, ZERO, seconds
 from roseweir.limits import Limits
-from roseweir.limits.rules import renew_restart_limit
 from roseweir.placement.headroom import Headroom
+from roseweir.placement.learning import Learning, runs_well
 from roseweir.placement.model import JobRun, Machine, Phase, Placement, new_run
 from roseweir.placement.watch import Cause, Watcher
 from roseweir.settings import Settings
-from roseweir.submissions.jobs import ARRAY, GANG, SERVICE, Ended, JobSpec, MachineType
+from roseweir.submissions.jobs import GANG, SERVICE, Ended, JobSpec, MachineType
 from roseweir.tuning import Tuning
 from roseweir.workers import messages as wire
 
@@ -28,17 +26,8 @@
 DRIFT = 1.001
 # Messages may sit in buffers for a moment after they came in, before they are stamped here.
 SLACK = timedelta(milliseconds=500)
-# A machine that failed tasks of this many different jobs since its last success is taken for faulty.
-SICK_JOBS = 2
-# After a first failure nothing starts there for a moment: the next failures tell whose fault it is.
-PAUSED = timedelta(seconds=15)
-# A machine goes back when this many arrays in a row took so much longer there than on average, judged
-# by at least so many tasks and machines. Healthy machines of a type differ by a tenth.
-SLOW_JOBS, SLOW_FACTOR, SLOW_TASKS, SLOW_PEERS = 2, 2.0, 3, 4
-# Boots that tell how long the next ones may take: so many, and for how long.
-BOOTS_KEPT, BOOTS_FOR = 20, timedelta(minutes=3)
-# A replica that ran so long speaks for its service; one that failed within so long of its start, against its machine.
-RUNS_WELL, AT_ONCE = timedelta(seconds=10), timedelta(seconds=5)
+# For how long boots tell how long the next ones may take.
+BOOTS_FOR = timedelta(minutes=3)
 # Phases in which a machine may have heard of a task.
 STARTED = (Phase.SENT, Phase.SEEN, Phase.RECORDED)
 # By how much a worker's report may be later than two of its intervals: one that is with this leader, and one in
@@ -46,17 +35,10 @@
 ON_TIME, SEARCH = timedelta(seconds=0.75), timedelta(seconds=5)
 # By how much two of its reports may be late before nothing is started on it.
 LATE = timedelta(seconds=1.5)
+# A machine that was given back is told from one unknown for so long, and so many: copies of its reports come late.
+GONE_FOR, GONE_MOST = timedelta(hours=1), 20_000
 # An aim for starting within so long leaves time to wait for a machine to come clear.
 LENIENT = timedelta(seconds=120)
-# An estimate says little about a task that has only just begun.
-RATIO_WEIGHT = 0.2
-
-
-@lru_cache(maxsize=16384)
-def _key(task: str) -> tuple[str, int]:
-    """Job and number of a task's name, which most reports repeat."""
-    job_id, _, number = task.rpartition("/")
-    return job_id, int(number)
 
 
 @dataclass(slots=True)
@@ -130,6 +112,7 @@
         self.drained: dict[str, str] = {}
         # Who keeps account of tasks' ups and downs, if anybody does.
         self.watcher: Watcher | None = None
+        self.learning = Learning(self)
         # Direct halts that should not wait for the next report: machine names.
         self.urgent: set[str] = set()
 
@@ -161,7 +144,7 @@
     def hear_out(self, now: datetime) -> None:
         """A service that was taken for mistaken as it began may run well by now."""
         for run in self.jobs.values():
-            if run.mistaken and _runs_well(run, None, now):
+            if run.mistaken and runs_well(run, None, now):
                 run.sound = True
 
     @property
@@ -347,264 +330,13 @@
 
     # -- reports ------------------------------------------------------------------------------
 
-    def machine_for(self, report: wire.Report, now: datetime) -> Machine | None:
-        kind = self.catalog.get(report.type)
-        if kind is None or report.machine in self.gone:
-            return None
-        machine = self.machines.get(report.machine)
-        if machine is None:
-            machine = Machine(report.machine, kind, report.zone, report.spot, known_since=now)
-            self.machines[report.machine] = machine
-        if machine.booting and machine.rented and machine.rented_at > NEVER:
-            taken = (now - machine.rented_at) / max(kind.boot, seconds(1))
-            self.boots.setdefault(kind.name, deque(maxlen=BOOTS_KEPT)).append((now, taken))
-        if machine.booting or not machine.address:
-            machine.idle_since = now if not machine.placements else NEVER
-            machine.gpus_idle_since = now
-            machine.booting = False
-            log.info("machine %s is up: %s in %s", machine.name, kind.name, machine.zone)
-        machine.address = report.address
-        return machine
-
     def take_report(self, report: wire.Report, now: datetime) -> Machine | None:
-        """Learn from a worker's report; None if it is too old to be answered with orders.
-
-        Reports are ordered by (session, seq). One that comes late says nothing new and gets no orders.
-        """
-        machine = self.machine_for(report, now)
-        if machine is None or not self._learn(machine, report, now):
-            return None
-        machine.heard = now
-        machine.hangs, machine.misses = False, 0
-        return machine
+        """Learn from a worker's report; None if it is not to be answered with orders (`placement/learning.py`)."""
+        return self.learning.take_report(report, now)
 
     def learn_direct(self, report: wire.Report, now: datetime) -> None:
-        """The answer of a direct command: it renews no lease and proves nothing about answers under way."""
-        machine = self.machines.get(report.machine)
-        if machine is not None and report.term == self.term and report.session == machine.session:
-            self._learn(machine, report, now, direct=True)
-
-    def _learn(self, machine: Machine, report: wire.Report, now: datetime, direct: bool = False) -> bool:
-        if report.session <= machine.dead_session or (report.session, report.seq) <= (machine.session, machine.seq):
-            return False
-        ours = report.term == self.term
-        if report.session > machine.session:
-            # A higher session proves that every task of the earlier ones is gone; what has not
-            # been sent yet can still go out to the new session.
-            for placement in list(machine.placements.values()):
-                if placement.phase in (Phase.SENT, Phase.SEEN):
-                    self.remove(placement, now)
-            if self.watcher is not None and machine.session > 0:
-                self.watcher.lapsed(machine, now)
-            machine.session = report.session
-        machine.seq = report.seq
-        if report.notice_s is not None:
-            if machine.recall_at is None:
-                log.info("machine %s will be taken back in %.0f s", machine.name, report.notice_s)
-                if self.watcher is not None:
-                    self.watcher.recalled(machine, now)
-            machine.recall_at = now + seconds(report.notice_s)
-            self.changed = True
-        machine.exits.clear()
-        machine.strangers.clear()
-        listed: set[tuple[str, int]] = set()
-        for task in report.tasks:
-            key = _key(task.task)
-            listed.add(key)
-            known = machine.placements.get(key)
-            if (
-                known is None
-                or task.state != wire.RUNNING
-                or known.state != wire.RUNNING
-                or known.phase != Phase.SEEN
-                or known.attempt != task.attempt
-                or known.run.over
-            ):
-                self._learn_task(machine, key, task, now)
-        if ours:
-            self._conclude_absences(machine, listed, report, now, direct)
-            if not machine.shown:
-                machine.shown = True
-                self.changed = True
-        return True
-
-    def _conclude_absences(
-        self, machine: Machine, listed: set[tuple[str, int]], report: wire.Report, now: datetime, direct: bool
-    ) -> None:
-        """What the report does not list is gone, if no order for it can still be under way.
-
-        The worker keeps one report in flight: a later report of its own proves the answer to an
-        earlier one taken or dropped. The answer of a direct command proves no such thing. Having
-        seen our term, the worker drops whatever earlier leaders sent.
-        """
-        for key, placement in list(machine.placements.items()):
-            if key in listed:
-                continue
-            if placement.phase in (Phase.SEEN, Phase.RECORDED):
-                self.remove(placement, now)
-            elif placement.phase == Phase.SENT and not direct and report.seq > placement.sent_seq:
-                if placement.halt_at is None and not placement.run.over:
-                    # The order was dropped on its way. The record still stands, so it may go out again.
-                    placement.phase = Phase.READY
-                else:
-                    self.remove(placement, now)
-
-    def _learn_task(self, machine: Machine, key: tuple[str, int], task: wire.TaskReport, now: datetime) -> None:
-        placement = machine.placements.get(key)
-        if task.state == wire.EXITED:
-            machine.exits.append((task.task, task.attempt, task.why or ""))
-            if placement is not None and placement.attempt == task.attempt:
-                self._exited(placement, task, now)
-            elif task.why == wire.DONE:
-                self._completed(key, now)
-            return
-        if placement is None:
-            # On the machine, but in no record: it must not stay.
-            log.warning("machine %s runs unknown task %s (attempt %d)", machine.name, task.task, task.attempt)
-            machine.strangers.append((task.task, task.attempt))
-            return
-        if placement.attempt != task.attempt:
-            if placement.phase == Phase.RECORDED:
-                placement.attempt = task.attempt
-            else:
-                machine.strangers.append((task.task, task.attempt))
-                return
-        placement.phase = Phase.SEEN
-        spec = placement.run.spec
-        if task.state != placement.state:
-            log.debug("%s on %s is %s", task.task, machine.name, task.state)
-            if task.state == wire.RUNNING:
-                placement.running_since = now
-            if task.state == wire.FETCHING:
-                placement.fetching_since = now
-            elif placement.state == wire.FETCHING and placement.fetching_since is not None:
-                self._note_fetch(machine.type, spec, now - placement.fetching_since, now)
-            placement.state = task.state
-            if task.state == wire.RUNNING and placement.halt_at is None and self.watcher is not None:
-                self.watcher.runs(placement)
-        if task.state != wire.FETCHING and spec.image:
-            if spec.image not in machine.images:
-                self.dirty_machines.add(machine.name)
-            machine.keep_image(spec.image, spec.image_gb)
-        if placement.run.over and placement.halt_at is None:
-            self.stop(placement, ZERO, now)
-
-    def _note_fetch(self, kind: MachineType, spec: JobSpec, taken: timedelta, now: datetime) -> None:
-        usual = spec.image_gb / max(kind.fetch_gb_per_s, 0.01)
-        if usual > 0:
-            kept = self.fetches.setdefault(kind.name, deque(maxlen=BOOTS_KEPT))
-            kept.append((now, taken.total_seconds() / usual))
-
-    def _completed(self, key: tuple[str, int], now: datetime) -> None:
-        run = self.jobs.get(key[0])
-        if run is None or run.over or run.spec.kind == SERVICE or key[1] >= run.spec.tasks:
-            return
-        # A gang completes together: if one task is done, all are.
-        indices: Iterable[int] = range(run.spec.tasks) if run.spec.kind == GANG else (key[1],)
-        for index in indices:
-            self._mark_done(run, index)
-        other = run.placed.get(key[1])
-        if other is not None:
-            self.stop(other, ZERO, now)
-
-    def _exited(self, placement: Placement, task: wire.TaskReport, now: datetime) -> None:
-        run, machine = placement.run, placement.machine
-        spec = run.spec
-        log.debug("%s on %s (%s) ended: %s", task.task, machine.name, spec.job_class, task.why)
-        if task.why == wire.DONE:
-            if spec.image:
-                machine.keep_image(spec.image, spec.image_gb)
-            self._judge_speed(placement, now)
-            run.failures = 0
-            machine.suspect_jobs.clear()
-            machine.sick_until = NEVER
-            self.remove_done(placement, now)
-            return
-        if task.why == wire.ERROR:
-            self._failed(placement, now)
-        elif task.why in (wire.NO_ROOM, wire.BUSY, wire.UNKNOWN):
-            log.info("machine %s refused %s: %s", machine.name, task.task, task.why)
-        self.remove(placement, now, Cause.FAILED)
-        if spec.kind == GANG and run.placed and task.why in (wire.ERROR, wire.PEERS, wire.STOPPED, wire.ALONE):
-            # The attempt has failed; what is left of it must go before the next one.
-            run.stopping = True
-            for mate in list(run.placed.values()):
-                if mate.halt_at is None and task.why != wire.STOPPED:
-                    self.stop(mate, ZERO, now)
-
-    def remove_done(self, placement: Placement, now: datetime) -> None:
-        run = placement.run
-        if run.spec.kind != SERVICE:
-            self._mark_done(run, placement.index)
-        self.remove(placement, now)
-        if run.spec.kind == GANG:
-            self._completed((run.spec.id, placement.index), now)
-
-    def _mark_done(self, run: JobRun, index: int) -> None:
-        if not run.over and run.mark_done(index):
-            if self.watcher is not None:
-                self.watcher.done(run, index)
-            run.unsaved.add(index)
-            self.dirty_jobs.add(run.spec.id)
-
-    def _judge_speed(self, placement: Placement, now: datetime) -> None:
-        spec = placement.run.spec
-        if spec.kind != ARRAY or spec.estimate_s <= 0 or placement.running_since is None:
-            return
-        self._compare_machines(placement, now - placement.running_since, now)
-        if self.watcher is not None:
-            self.watcher.took(placement, now - placement.running_since)
-        taken = (now - placement.running_since) / spec.estimate
-        if 0.05 < taken < 20:
-            old = self.ratios.get(spec.job_class, 1.0)
-            self.ratios[spec.job_class] = old + RATIO_WEIGHT * (min(taken, 4.0) - old) / max(1.0, spec.tasks**0.5)
-
-    def _compare_machines(self, placement: Placement, taken: timedelta, now: datetime) -> None:
-        """Tell slow machines by whole arrays only: before its end, those that ran long tasks look slow."""
-        run = placement.run
-        total, count = run.times.get(placement.machine.name, (ZERO, 0))
-        run.times[placement.machine.name] = (total + taken, count + 1)
-        if run.done_count + 1 < run.spec.tasks or len(run.times) < SLOW_PEERS:
-            return
-        mean = sum((t for t, _ in run.times.values()), ZERO) / sum(n for _, n in run.times.values())
-        for name, (total, count) in run.times.items():
-            machine = self.machines.get(name)
-            if machine is None or count < SLOW_TASKS:
-                continue
-            machine.slow_jobs = machine.slow_jobs + 1 if total / count > mean * SLOW_FACTOR else 0
-            if machine.slow_jobs >= SLOW_JOBS and not machine.leaving:
-                log.info("machine %s took %.1f times as long as others and goes back", name, total / count / mean)
-                machine.leaving = True
-
-    def _failed(self, placement: Placement, now: datetime) -> None:
-        """A faulty machine fails tasks of several jobs; a mistaken job fails on several machines."""
-        run, machine = placement.run, placement.machine
-        # A service is never done, so its failures were summed up over its life: after the third faulty machine it
-        # counted as mistaken and went last, and after the sixth failure its replicas waited for the restart limit, as
-        # if the job were at fault. Replicas that run say otherwise.
-        runs_elsewhere = _runs_well(run, placement, now)
-        if runs_elsewhere:
-            run.sound = True
-        else:
-            run.failures += 1
-        run.error_machines.add(machine.name)
-        if run.mistaken:
-            # The job speaks against itself, not against the machines that it failed on.
-            for other in self.machines.values():
-                if other.suspect_jobs == {run.spec.id} and not other.leaving:
-                    other.suspect_jobs.clear()
-                    other.sick_until = NEVER
-        else:
-            machine.suspect_jobs.add(run.spec.id)
-            if self.watcher is not None:
-                self.watcher.failed(machine, run, now)
-            machine.sick_until = max(machine.sick_until, now + PAUSED)
-            proven = (run.done_count > 0 and run.failures >= 2) or (runs_elsewhere and _fell_at_once(placement, now))
-            if (len(machine.suspect_jobs) >= SICK_JOBS or proven) and not machine.leaving:
-                log.info("machine %s fails tasks of %d jobs and goes back", machine.name, len(machine.suspect_jobs))
-                machine.leaving = True
-        if run.failures >= self.tuning.failure_count:
-            renew_restart_limit(self.limits, run.spec.id, self.tuning, now)
+        """Learn from the answer of a direct command."""
+        self.learning.learn_direct(report, now)
 
     # -- answers ------------------------------------------------------------------------------
 
@@ -626,7 +358,7 @@
                     placement.state == wire.SAVING and placement.halt_grace > ZERO
                 ):
                     orders.append(wire.halt(placement.name, placement.attempt, placement.halt_grace))
-            elif placement.phase == Phase.READY and may_run and machine.shown:
+            elif placement.phase == Phase.READY and may_run and machine.shown and not machine.in_doubt:
                 placement.phase = Phase.SENT
                 placement.sent_seq = machine.seq
                 orders.append(wire.run(placement.name, placement.attempt))
@@ -663,16 +395,18 @@
                 continue
             if machine.placements:
                 # A machine that showed our term obeys nobody else, so our own last answer counts.
-                # `heard` is when the report came in, which is after it was sent.
-                until = machine.heard + self.lease if machine.shown else self.unproven_until
-                if not machine.shown and machine.heard > NEVER:
-                    until = max(until, machine.heard + self.lease)
+                # `renewed` is when the report came in, which is after it was sent.
+                until = machine.renewed + self.lease
+                if not machine.shown:
+                    until = max(until, self.unproven_until)
                 if now > until:
                     self.lapse(machine, now, "lease ran out")
             if machine.recall_at is not None:
                 self._drain_recalled(machine, now)
-        for name in [n for n, at in self.gone.items() if now - at > timedelta(minutes=10)]:
+        for name in [n for n, at in self.gone.items() if now - at > GONE_FOR]:
             del self.gone[name]
+        while len(self.gone) > GONE_MOST:
+            del self.gone[next(iter(self.gone))]
         self.limits.expire(now)
 
     def _drain_recalled(self, machine: Machine, now: datetime) -> None:
@@ -708,10 +442,10 @@
         return [taken for at, taken in self.boots.get(kind.name, ()) if now - at < BOOTS_FOR]
 
     def overdue(self, now: datetime) -> list[Machine]:
-        """Machines whose reports should have come, if these are most of all; else none."""
+        """Machines whose reports should have come, or whose answers seem lost, if these are most of all; else none."""
         up = [m for m in self.machines.values() if not m.booting and m.recall_at is None]
         report = self.settings.params.workers.report
-        late = [m for m in up if self.silent(m, now) > report * 2 + (ON_TIME if m.shown else SEARCH)]
+        late = [m for m in up if m.in_doubt or self.silent(m, now) > report * 2 + (ON_TIME if m.shown else SEARCH)]
         return late if len(late) * 2 > len(up) else []
 
     def is_heard(self, machine: Machine, now: datetime) -> bool:
@@ -722,18 +456,6 @@
         return now - max(machine.heard, self.began)
 
 
-def _runs_well(run: JobRun, but: Placement | None, now: datetime) -> bool:
-    """Whether (other) replicas of a service have been running for a while."""
-    return run.spec.kind == SERVICE and any(
-        p is not but and p.state == wire.RUNNING and p.running_since is not None and now - p.running_since >= RUNS_WELL
-        for p in run.placed.values()
-    )
-
-
-def _fell_at_once(placement: Placement, now: datetime) -> bool:
-    return placement.running_since is None or now - placement.running_since < AT_ONCE
-
-
 def holdover(settings: Settings) -> timedelta:
     """How long a leader without news of cancels may go on answering reports.
 
--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -157,7 +157,14 @@
     seq: int = 0
     dead_session: int = 0  # sessions up to this one have run out
     shown: bool = False  # has reported our own term
-    heard: datetime = NEVER  # when the newest answered report came in
+    heard: datetime = NEVER  # when the newest report in our term came in
+    renewed: datetime = NEVER  # when the newest report came in whose answer may have renewed its lease
+    unproven_since: datetime = NEVER  # first answer to a word that does not show our term
+    answered: tuple[int, int] = (0, 0)  # (session, seq) of the newest report that was answered 200
+    answered_at: datetime = NEVER
+    doubt_since: datetime = NEVER  # signs that our answers do not reach it, and no proof since
+    deaf_since: datetime = NEVER  # and our questions do not either
+    dropped: int = 0  # orders in a row that it did not take up
     known_since: datetime = NEVER
     rented_at: datetime = NEVER
     booting: bool = False
@@ -194,6 +201,14 @@
         self.free_gpus = self.type.gpus
         self.free_memory = self.type.memory_gb
 
+    @property
+    def in_doubt(self) -> bool:
+        return self.doubt_since != NEVER
+
+    @property
+    def deaf(self) -> bool:
+        return self.deaf_since != NEVER
+
     @property
     def type_name(self) -> str:
         return self.type.name
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -47,6 +47,7 @@
         for m in board.machines.values()
         if m.shown
         and not m.leaving
+        and not m.in_doubt
         and m.recall_at is None
         and m.sick_until <= now
         and m.name not in board.drained
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -4,6 +4,7 @@
 import gc
 import logging
 from collections.abc import Awaitable, Callable
+from datetime import datetime
 from errno import EADDRINUSE
 from secrets import token_hex
 from typing import Any
@@ -27,7 +28,7 @@
     serve,
 )
 from roseweir.leadership.leadership import Leadership, Term
-from roseweir.membership.desk import PEER_PATIENCE, Membership
+from roseweir.membership.desk import PEER_PATIENCE, Membership, Overdue
 from roseweir.placement.explain import explain
 from roseweir.reign import Reign
 from roseweir.served import messages as served
@@ -66,6 +67,8 @@
         self.leadership = Leadership(
             settings, self.state, self._lead, self.membership.ask_peers, self.membership.probe_workers
         )
+        self.leadership.unsure, self.leadership.sure = self._unsure, self._sure
+        self.leadership.learnt = self.membership.knows_term
         # Tells this process from an earlier one of the same node.
         self._instance = token_hex(4)
         self._began = NEVER
@@ -124,10 +127,24 @@
 
     # -- the workers --------------------------------------------------------------------------
 
-    def _overdue(self) -> dict[str, str]:
-        """Names and addresses of the workers that this leader misses, if they are most of all."""
+    def _overdue(self) -> Overdue:
+        """Addresses and newest tallies of the workers that this leader misses, if they are most of all."""
         reign = self.reign
-        return {m.name: m.address for m in reign.board.overdue(steady())} if reign is not None and reign.open else {}
+        if reign is None or not reign.open:
+            return {}
+        return {m.name: (m.address, (m.session, m.seq)) for m in reign.board.overdue(steady())}
+
+    def _unsure(self, now: datetime) -> None:
+        """A leader that can ask nobody whether it still leads lets some workers look for another."""
+        if self.reign is not None and self.reign.open:
+            scouts = self.reign.workers.scouts
+            scouts.begin(len(self.settings.peers) + 1, self.settings.params.workers.report, now)
+            if scouts.found(now):
+                self.reign.term.end("workers sent to look for another leader have found one")
+
+    def _sure(self) -> None:
+        if self.reign is not None:
+            self.reign.workers.scouts.stop()
 
     def _stood_still(self) -> None:
         self.leadership.forget_leader()
@@ -302,6 +319,8 @@
                 "machines": len(board.machines),
                 "machines_booting": sum(m.booting for m in board.machines.values()),
                 "machines_overdue": len(board.overdue(steady())),
+                "machines_in_doubt": sorted(m.name for m in board.machines.values() if m.in_doubt and not m.deaf),
+                "machines_deaf": sorted(m.name for m in board.machines.values() if m.deaf),
                 "as_of_s": self._age(reign) if reign.open else None,
             }
             if reign.ahead is not None:
--- a/roseweir/workers/desk.py
+++ b/roseweir/workers/desk.py
@@ -13,7 +13,9 @@
 from roseweir.connections import Side
 from roseweir.http import Connect, Request, Response, Unreachable, json_response
 from roseweir.leadership.leadership import Term
+from roseweir.membership.judge import Scouts
 from roseweir.placement.board import Board
+from roseweir.placement.hearing import answered
 from roseweir.placement.model import Machine
 from roseweir.workers import messages as wire
 
@@ -47,6 +49,7 @@
         self.term = term
         self.recorded = recorded
         self.work = work
+        self.scouts = Scouts()  # workers sent to look for another leader
         self.news_at = NEVER  # every cancel accepted up to then is known
 
     def may_answer(self, now: datetime) -> bool:
@@ -71,7 +74,11 @@
         if machine is None:
             if report.machine in self.board.gone:
                 return json_response(503, {"error": "released"})
-            return json_response(200, wire.answer(self.board.term, []))
+            if not self.board.learning.may_answer(report, now):
+                return json_response(503, {"error": "not known to hear this node"})
+            return json_response(200, wire.answer(self.board.term, self.board.learning.halts_for(report)))
+        if self.scouts.sends_away(machine.name, bool(machine.placements), now):
+            return json_response(503, {"error": "look for another leader"})
         self.work.set()
         await self._hold(machine, report.seq, now)
         now = steady()
@@ -82,6 +89,7 @@
         response = json_response(
             200, wire.answer(self.board.term, self.board.orders(machine, now, self.term.may_run()))
         )
+        answered(machine, report.seq, now)
         response.side = Side.WORKER if machine.placements else Side.IDLE_WORKER
         return response
 
--- a/roseweir/workers/messages.py
+++ b/roseweir/workers/messages.py
@@ -43,10 +43,13 @@
     notice_s: float | None = None
 
 
-class Caller(msgspec.Struct, rename={"machine": "host"}):
+class Caller(msgspec.Struct, rename={"machine": "host", "session": "tenure", "seq": "tally", "term": "warrant"}):
     """All that a node which does not lead reads of a report."""
 
     machine: str
+    session: int
+    seq: int
+    term: int
 
 
 FETCHING = "pulling"
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,21 @@
 
 from roseweir.clock import SLEPT, seconds
 from roseweir.leadership.messages import Ask, Reach
-from roseweir.membership.judge import ASKED, LOOK, Callers, Finding, Vigil, better_placed, is_alone, latest, some_of
+from roseweir.membership.judge import (
+    ASKED,
+    LONE,
+    LOOK,
+    MISSED,
+    TIMES,
+    Callers,
+    Finding,
+    Scouts,
+    Solitude,
+    Vigil,
+    better_placed,
+    latest,
+    some_of,
+)
 from tests.test_placement import NOW
 
 
@@ -45,7 +59,7 @@
             for n in range(1, controllers)
             if draw.random() < 0.8  # an answer that does not come counts for nothing
         }
-        missing = set(workers) if back[0] else set()
+        missing = dict.fromkeys(workers, (1, 5)) if back[0] else {}
         found = better_placed(answers, ask, 0 if out[0] else len(workers), missing)
         if found is None:
             stayed += 1
@@ -59,19 +73,59 @@
 
 def test_nothing_is_concluded_from_no_answer() -> None:
     ask = Ask(4, 1, {"i-1": "", "i-2": ""})
-    assert better_placed({}, ask, 0, {"i-1", "i-2"}) is None
-    assert better_placed({"n1": Reach(4, 1, [], [])}, ask, 0, {"i-1", "i-2"}) is None
+    missing = {"i-1": (1, 5), "i-2": (1, 9)}
+    assert better_placed({}, ask, 0, missing) is None
+    assert better_placed({"n1": Reach(4, 1, [], [])}, ask, 0, missing) is None
+    # Copies that came late to another node are older than what the leader has heard itself.
+    assert better_placed({"n1": Reach(4, 1, [], ["i-1"], {"i-1": (1, 4)})}, ask, 2, missing) is None
+    assert better_placed({"n1": Reach(4, 1, [], ["i-1"], {"i-1": (1, 6)})}, ask, 2, missing) == "n1"
     assert latest([]) is None and latest([("", 0), ("", 0)]) is None
     assert latest([("n1", 4), ("", 0), ("n2", 6)]) == ("n2", 6)
-    assert not is_alone(True, False, False), "an outage of all"
-    assert is_alone(True, False, True) and not is_alone(True, True, True) and not is_alone(False, False, True)
+
+
+def test_a_node_without_state_service_and_peers_is_alone_and_in_an_outage_of_all_it_is_not() -> None:
+    def look(solitude: Solitude, span: float, *told: object) -> bool:
+        at = NOW
+        while at <= NOW + seconds(span):
+            alone = solitude.look(*told, at)  # type: ignore[arg-type, call-arg]
+            at += seconds(0.5)
+        return alone
+
+    assert not look(Solitude(), 60, True, 4, 4, False, False), "an outage of all: every peer says so"
+    assert look(Solitude(), 0, True, 4, 4, True, False), "a peer's word"
+    assert look(Solitude(), 0, True, 4, 0, False, True), "a worker that has met a later leader"
+    within, after = LONE.total_seconds() - 0.5, LONE.total_seconds()
+    assert not look(Solitude(), within, True, 2, 0, False, False) and look(Solitude(), after, True, 2, 0, False, False)
+    # Two that see one another and miss the third: it may have ended in an outage, and is back by then.
+    within, after = MISSED.total_seconds() - 0.5, MISSED.total_seconds()
+    assert not look(Solitude(), within, True, 2, 1, False, False) and look(Solitude(), after, True, 2, 1, False, False)
+    assert not look(Solitude(), 60, True, 0, 0, False, False), "a single controller"
+    flapping = Solitude()
+    for _ in range(TIMES):
+        assert look(flapping, after, True, 2, 0, False, False) and not flapping.look(False, 2, 2, True, False, NOW)
+    assert not look(flapping, after, True, 2, 0, False, False), "the balancer's pause doubles"
+
+
+@pytest.mark.parametrize("found", [True, False])
+def test_scouts_stay_away_if_another_leads_and_come_back_in_an_outage(found: bool) -> None:
+    scouts = Scouts()
+    scouts.begin(3, seconds(1), NOW)
+    assert not scouts.sends_away("i-0", True, NOW), "those without tasks go first"
+    assert scouts.sends_away("i-1", False, NOW) and scouts.sends_away("i-2", True, NOW + seconds(1.3))
+    if not found:
+        assert not scouts.sends_away("i-1", False, NOW + seconds(3)), "answered again as it returns"
+    assert not scouts.found(NOW + seconds(4))
+    assert scouts.found(NOW + seconds(30)) == found
+    scouts.begin(3, seconds(1), NOW + seconds(2))
+    assert scouts.sent == {"i-1": NOW, "i-2": NOW + seconds(1.3)}, "they are on their way"
 
 
 def test_callers_count_for_a_while_and_are_bounded() -> None:
     callers = Callers()
     for number in range(9000):
-        callers.note(f"i-{number}", NOW)
-    assert callers.came(["i-8999", "i-0"], NOW) == [], "one that came this instant may be with the leader in the next"
-    assert callers.came(["i-8999", "i-0"], NOW + seconds(2)) == ["i-8999"]
-    assert callers.came(["i-8999"], NOW + seconds(9)) == []
+        callers.note(f"i-{number}", (1, 7), NOW)
+    assert not callers.came(["i-8999", "i-0"], NOW), "one that came this instant may be with the leader in the next"
+    assert callers.came(["i-8999", "i-0"], NOW + seconds(2)) == {"i-8999": (1, 7)}
+    callers.note("i-8999", (1, 7), NOW + seconds(8))
+    assert not callers.came(["i-8999"], NOW + seconds(9)), "a copy that came late"
     assert len(some_of({f"i-{n}": "" for n in range(9000)})) <= ASKED
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -127,7 +127,7 @@
     machine = board.restore_machine("i-1", GPU, "a", False, NOW)
     board.restore(run, 0, machine, 7, NOW)
     hand = Hand(board, "i-1", "gpu")
-    hand.report(NOW, term=TERM - 1)
+    assert board.take_report(hand.body(TERM - 1), NOW) is None
     assert 0 in run.placed and board.usage["t0"].gpus == 2.0
     plan(board, NOW)
     assert list(run.placed) == [0]
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -24,7 +24,7 @@
 def ask(board: Board, now: datetime, hung: set[str]) -> None:
     for machine in to_ask(board, now):
         machine.asked = now
-        note(machine, now, machine.name in hung, now + ASK_PATIENCE)
+        note(board, machine, now, machine.name in hung, now + ASK_PATIENCE)
 
 
 def test_of_many_that_fall_silent_together_those_that_hang_are_waited_for() -> None:
@@ -62,9 +62,9 @@
         assert to_ask(board, now + seconds(n)) == [machine]
         machine.asked = now + seconds(n)
         # This node was so busy that the attempt ran out late.
-        note(machine, machine.asked, False, machine.asked + ASK_PATIENCE * 4)
+        note(board, machine, machine.asked, False, machine.asked + ASK_PATIENCE * 4)
     assert not is_lost(board, machine, now + seconds(MISSES))
     asked = now + seconds(MISSES)
     hands[0].report(asked + seconds(0.2))
-    note(machine, asked, False, asked + ASK_PATIENCE)
+    note(board, machine, asked, False, asked + ASK_PATIENCE)
     assert machine.misses == 0 and not machine.hangs and to_ask(board, asked + seconds(0.3)) == []
--- a/tests/world.py
+++ b/tests/world.py
@@ -31,9 +31,13 @@
 }
 
 
+# So long after it stopped hearing nothing is sent to a machine any more: two questions in vain, and a lost answer.
+DEAF_AFTER = 9.0
 TROUBLES = ["crash", "crash", "roll", "all", "outage", "alone", "hang", "die", "recall", "cut", "sick", "slow"]
 # What on-call met later.
 LATER = [*TROUBLES, "paused", "paused", "partly", "partly", "partly", "boots", "lag"]
+# What the operators' pages had left out.
+LEFT_OUT = ["deaf machine", "deaf machine", "mute machine", "copies", "copies", "lone", "lone", "reborn", "reborn"]
 
 
 class RuleBroken(AssertionError):
@@ -360,12 +364,25 @@
         self.dead = False
         self.hung = False
         self.sick = False
+        self.way = ""  # "deaf": no answer or command reaches it; "mute": no report leaves it
+        self.way_since = 0.0
         self.recall_at: float | None = None
         self.renewed = now()
         self.node = world.draw.randrange(world.controllers)
         self.alarm = asyncio.Event()
         world.workers[host.name] = self
 
+    def lose(self, way: str) -> None:
+        self.way, self.way_since = way, now()
+
+    def reborn(self) -> None:
+        """The machine is back at once under its name: nothing on it, a new session, and old commands under way."""
+        self.die()
+        worker = self.host.worker = Worker(self.world, self.host)
+        worker.session = self.session + 1
+        worker.recall_at = self.recall_at
+        self.world.spawn(worker.live())
+
     def die(self) -> None:
         self.dead = True
         self.tasks.clear()
@@ -657,6 +674,8 @@
         self.attempts: set[tuple[str, int, int]] = set()  # of all that ever started
         self.terms: dict[int, Service] = {}  # and by which process each term was led
         self.cuts: set[str] = set()
+        self.copying = 0  # troubles that copy reports
+        self.quiet_from = 1e9  # troubles are over
         self.over = False  # the day ends early: what it was played for is known
         self.tasks: dict[asyncio.Task[Any], None] = {}
 
@@ -706,6 +725,9 @@
                     raise Unreachable("no such worker")
                 while worker.hung:
                     await asyncio.sleep(0.1)
+                if worker.way == "deaf":
+                    await asyncio.sleep(patience.total_seconds())
+                    raise Unreachable("nothing reaches it")
                 if worker.dead:
                     raise Unreachable("gone")
                 if method == "GET":
@@ -754,6 +776,16 @@
     async def hello(self, worker: Worker, index: int, body: dict[str, Any]) -> Response | None:
         node = self.nodes[index]
         raw = orjson.dumps(body)
+        if self.copying:
+            for _ in range(self.draw.choice([0, 1, 1, 2])):
+                self.spawn(self.copy(raw))
+        if worker.way == "mute":
+            await asyncio.sleep(4.0)
+            return None
+        if worker.way == "deaf":
+            self.spawn(self.in_vain(worker, node, raw))
+            await asyncio.sleep(4.0)
+            return None
         if worker.host.yard in self.cuts and node.zone not in self.cuts:
             if self.draw.random() < 0.3:
                 self.spawn(self.late_hello(node, raw))
@@ -774,6 +806,18 @@
         except TimeoutError:
             return None
 
+    async def copy(self, raw: bytes) -> None:
+        """Of a report, seconds to well over a lease late, to whatever node is there by then."""
+        await asyncio.sleep(self.draw.choice([0.01, 1.0, 5.0, 20.0]) * self.draw.uniform(0.5, 1.5))
+        await self.draw.choice(self.nodes).serve(lambda service: service.public(Request("POST", "/hello", raw)))
+
+    async def in_vain(self, worker: Worker, node: Node, raw: bytes) -> None:
+        response = await node.serve(lambda service: service.public(Request("POST", "/hello", raw)))
+        if response is not None and response.status == 200 and worker.way == "deaf":
+            sent = [order["parcel"] for order in orjson.loads(response.body)["orders"] if order["verb"] == "run"]
+            late = now() - worker.way_since > DEAF_AFTER
+            self.rule(not (sent and late), f"sent_in_vain: {sent} to {worker.host.name}, which hears nothing")
+
     async def late_hello(self, node: Node, raw: bytes) -> None:
         await asyncio.sleep(self.draw.uniform(1.0, 20.0))
         await node.serve(lambda service: service.public(Request("POST", "/hello", raw)))
@@ -955,7 +999,8 @@
         draw = self.draw
         while True:
             await asyncio.sleep(draw.expovariate(1 / 6))
-            self.spawn(self.one_trouble(draw.choice(self.troubles)))
+            if now() < self.quiet_from - 15:
+                self.spawn(self.one_trouble(draw.choice(self.troubles)))
 
     def leader(self) -> Node:
         return next((n for n in self.nodes if n.service and n.service.reign), self.draw.choice(self.nodes))
@@ -1013,6 +1058,14 @@
             self.cuts.add(zone)
             await asyncio.sleep(draw.uniform(1, 15))
             self.cuts.discard(zone)
+        elif kind == "copies":
+            self.copying += 1
+            await asyncio.sleep(draw.uniform(5, 30))
+            self.copying -= 1
+        elif kind == "lone":
+            # Of state service and other controllers, but not of its workers: one, or two that may see one another.
+            for node in draw.sample(self.nodes, draw.choice([1, 1, 1, 2])):
+                self.spawn(self.lose(node, ["state", "peers"], draw.uniform(5, 40)))
         elif kind == "slow":
             node = draw.choice(self.nodes)
             node.slow = draw.uniform(0.05, 0.8)
@@ -1020,6 +1073,13 @@
             node.slow = 0.0
         elif worker is None:
             return
+        elif kind in ("deaf machine", "mute machine"):
+            worker.lose(kind.partition(" ")[0])
+            await asyncio.sleep(draw.uniform(2, 40))
+            worker.lose("")
+        elif kind == "reborn":
+            if not worker.dead and not worker.hung:
+                worker.reborn()
         elif kind == "hang":
             worker.hung = True
             await asyncio.sleep(draw.uniform(1, 15))
