The largest jobs of a class: told in the account, and the oldest that wait have room kept

Ruled out: stopping others for it (the protocol's two reasons stand), a queue by arrival alone (guarantees and ranks hold for the rest). Change: placement/elders.py: after 75 s a job that has not begun comes with those within a guarantee, after 150 s before all, a quarter of the pool at most; a startup limit that blocks it is left to it; what it lacks is rented even if there is enough in pieces. served/largest.py: a row for the largest of each class, by size, in the record, in `served`, `status` and the log.

--- a/roseweir/cli.py
+++ b/roseweir/cli.py
@@ -160,6 +160,12 @@
             rows.append((*who, *(str(at[c]) for c in columns), f"{at['served']:.2f}"))
     rows += [(r["team"], r["class"], *(str(r[c]) for c in columns), f"{r['served']:.2f}") for r in answer["rows"]]
     _print_table(rows)
+    print()
+    largest = ("accepted", "begun", "in_time", "late", "done", "cancelled", "longest_s")
+    _print_table(
+        [("largest jobs of", *largest)]
+        + [(name, *(str(at[c]) for c in largest)) for name, at in answer["largest"].items()]
+    )
     if answer["gaps"]:
         print(f"ends were lost {answer['gaps']} times, when the record was too old to be made up for")
 
--- a/roseweir/cloud/plan.py
+++ b/roseweir/cloud/plan.py
@@ -13,6 +13,7 @@
 from roseweir.clock import NEVER, ZERO, seconds
 from roseweir.cloud.silence import is_awaited, is_lost, patience
 from roseweir.placement.board import Board
+from roseweir.placement.elders import YOUNG
 from roseweir.placement.look import suits
 from roseweir.placement.model import JobRun, Machine
 from roseweir.placement.plan import Pass, most_at_once
@@ -108,15 +109,27 @@
             spec = run.spec
             if not any(suits(spec, m) and spec.fits(m.type) for m in there):
                 short = max(short, units(spec))
-            if short <= 1e-6:
+            asked = max(min(short, count * max(units(spec), 1e-3)), _for_old(run, count, there))
+            if asked <= 1e-6:
                 continue
-            asked = min(short, count * max(units(spec), 1e-3))
             got = choose(board, spec, asked, refused, wants, now)
             short -= got
             exhausted = exhausted or (not gpu_pool and got < asked - 1e-6)
     return wants, exhausted
 
 
+def _for_old(run: JobRun, count: int, there: list[Machine]) -> float:
+    """Units to rent for a job that has waited long, whatever the sums say: there may be enough in pieces.
+
+    What boots already counts for it, so that it is asked for once.
+    """
+    spec = run.spec
+    if run.age == YOUNG or not spec.whole:
+        return 0.0
+    coming = sum(m.room(spec, 0.0) for m in there if m.booting and suits(spec, m))
+    return max(0, count - coming) * units(spec)
+
+
 def _slowness(board: Board, now: datetime) -> dict[str, float]:
     """By how much boots of each type are slower than the catalog says; 1.0 if they are as usual.
 
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -69,6 +69,10 @@
         self.gone: dict[str, datetime] = {}
         self.usage: dict[str, Usage] = {}
         self.limits = Limits(tuning.ban_window, tuning.lookahead)
+        # The instant at which the time of day was 0, as far as known: jobs' acceptance is told by it.
+        self.epoch: datetime | None = None
+        # Zones whose tokens for fetches are left to a job that has waited long, in this pass.
+        self.saving: set[str] = set()
         self.ratios: dict[str, float] = {}
         # The least that a waiting task takes, of those without and those with GPUs, since the last pass.
         self.least_cpus = self.least_gpus = 0.0
--- a/roseweir/placement/learning.py
+++ b/roseweir/placement/learning.py
@@ -279,6 +279,7 @@
             log.debug("%s on %s is %s", task.task, machine.name, task.state)
             if task.state == wire.RUNNING:
                 placement.running_since = now
+                placement.run.begun = True
             if task.state == wire.FETCHING:
                 placement.fetching_since = now
             elif placement.state == wire.FETCHING and placement.fetching_since is not None:
--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -77,6 +77,8 @@
     attempt: int = 0  # of a gang that is on machines
     stopping: bool = False  # a gang that falls apart: every mate must go before it restarts
     covered: bool = False
+    begun: bool = False  # a task of it has run, as far as this leader knows
+    age: int = 0  # how long it has waited counts for this much (`placement/elders.py`)
     first_wait: datetime = NEVER
     looked: datetime = NEVER  # when it was last seen to that others make room
     # Time taken by tasks of an array and their number, by machine: tells slow machines at its end.
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -11,6 +11,7 @@
 from roseweir.clock import FOREVER, NEVER
 from roseweir.limits import Limit, Start
 from roseweir.placement.board import Board, Usage
+from roseweir.placement.elders import OLDEST, YOUNG, mark
 from roseweir.placement.look import Look, Room, suits
 from roseweir.placement.model import JobRun, Machine, Phase, Placement
 from roseweir.submissions.jobs import ARRAY, GANG, JobSpec
@@ -100,13 +101,21 @@
     return (run.spec.accepted_ms, run.spec.id)
 
 
-def queue(board: Board) -> list[JobRun]:
+def queue(board: Board, now: datetime) -> list[JobRun]:
     waiting = [run for run in board.jobs.values() if run.pending > 0]
+    machines = [m for m in board.machines.values() if m.shown and not m.leaving]
+    pools = {True: sum(m.type.gpus for m in machines), False: sum(m.type.cpus for m in machines)}
+    mark(waiting, pools, board.epoch, now)
     # A mistaken job fails wherever it is put: it may try again where nobody else waits for the room.
-    waiting.sort(key=lambda run: (run.mistaken, not run.covered, run.spec.priority, *_arrival(run)))
+    waiting.sort(key=_order)
     return waiting
 
 
+def _order(run: JobRun) -> tuple[object, ...]:
+    first = run.covered or run.age > YOUNG
+    return (run.mistaken, run.age < OLDEST, not first, run.spec.priority, *_arrival(run))
+
+
 def plan(board: Board, now: datetime) -> Pass:
     result = Pass()
     mark_covered(board)
@@ -114,7 +123,8 @@
     open_machines = usable(board, now)
     look = Look(board, open_machines, now)
     reserves = Reserves(_reserves(board, open_machines, now))
-    waiting = queue(board)
+    waiting = queue(board, now)
+    board.saving.clear()
     board.least_cpus = min((run.spec.cpus for run in waiting if run.spec.gpus <= 0), default=inf)
     board.least_gpus = min((run.spec.gpus for run in waiting if run.spec.gpus > 0), default=inf)
     roomy = _roomy(board, open_machines)
@@ -344,7 +354,7 @@
     blocked_zones: set[str] = set()
     for machine in candidates:
         cached = machine.has_image(spec.image)
-        if not cached and machine.zone in blocked_zones:
+        if not cached and (machine.zone in blocked_zones or _saved(board, run, machine)):
             continue
         here = min(count - placed, reserves.room(machine, spec), _zone_room(run, machine.zone))
         if here <= 0:
@@ -354,6 +364,8 @@
             if here == 1 or not board.limits.allow([Start(spec, machine, 1)], source_of(spec), now):
                 if not cached:
                     blocked_zones.add(machine.zone)
+                    if run.age > YOUNG:
+                        board.saving.add(machine.zone)
                 continue
             here = 1
         for _ in range(here):
@@ -387,7 +399,12 @@
     if best is None:
         return 0
     starts = [Start(spec, machine, tasks) for machine, tasks in best]
+    fetching = [machine for machine, _ in best if not machine.has_image(spec.image)]
+    if any(_saved(board, run, machine) for machine in fetching):
+        return 0
     if not board.limits.allow(starts, source_of(spec), now):
+        if run.age > YOUNG:
+            board.saving.update(machine.zone for machine in fetching)
         return 0
     if not run.placed:
         run.attempt = board.next_attempt()
@@ -404,6 +421,11 @@
     return placed
 
 
+def _saved(board: Board, run: JobRun, machine: Machine) -> bool:
+    """Whether a fetch there would take tokens that are left to a job that has waited long."""
+    return run.age == YOUNG and machine.zone in board.saving
+
+
 def _fetches(spec: JobSpec, chosen: list[tuple[Machine, int]]) -> int:
     return sum(1 for machine, _ in chosen if spec.image not in machine.images)
 
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from roseweir import clock
 from roseweir.bell import Bell
 from roseweir.clock import NEVER, SLEPT, pause, seconds, steady, within
 from roseweir.cloud.client import CloudClient
@@ -60,6 +61,7 @@
         self.state = state
         self.board = Board(settings, tuning, term.number, steady())
         self.board.catalog = {kind.name: kind for kind in catalog}
+        self.board.epoch = steady() - timedelta(seconds=clock.wall().timestamp())
         recorded = Bell()
         self.recorder = Recorder(state, self.board, term.version, recorded)
         self.work = asyncio.Event()
--- a/roseweir/served/account.py
+++ b/roseweir/served/account.py
@@ -15,6 +15,7 @@
 import orjson
 
 from roseweir.placement.model import JobRun
+from roseweir.served.largest import BEGIN_S, Key, Size, decode, encode, largest, step_of
 from roseweir.submissions.desk import REST
 from roseweir.submissions.jobs import ARRAY, SERVICE, Ended, JobSpec
 from roseweir.workers import messages as wire
@@ -78,6 +79,11 @@
     row: Row
     started: bool = False
     state: str = ""  # done or cancelled, once known
+    step: int | None = None  # of its size; None: over before this leader began
+    accepted_ms: int = 0
+    began_s: float = 0.0  # seconds from its acceptance until it began, or so far
+    inherited: bool = False  # from an earlier leader
+    timed: bool = True  # when it began is known
 
 
 @dataclass
@@ -89,6 +95,8 @@
     gaps: int = 0
     # Over, and not yet known how.
     unsure: dict[str, _Live] = field(default_factory=dict)
+    # Jobs by class and size, as far as they have ended or begun; `sizes` adds those that wait.
+    rows: dict[Key, Size] = field(default_factory=dict)
     # Told by the record alone, or by the watch alone: see ended_unseen().
     _late: dict[str, Ended] = field(default_factory=dict)
     _unknown: set[str] = field(default_factory=set)
@@ -101,7 +109,9 @@
 
     def accepted(self, spec: JobSpec) -> None:
         if spec.id not in self.live:
-            self.live[spec.id] = _Live((spec.team, spec.job_class))
+            self.live[spec.id] = _Live(
+                (spec.team, spec.job_class), step=step_of(spec.size), accepted_ms=spec.accepted_ms
+            )
 
     def over(self, job_id: str, state: str) -> None:
         """The job's end is recorded; it is counted when the watch tells."""
@@ -146,18 +156,53 @@
         else:
             tally.cancelled += 1
             tally.cancelled_started += job.started
+        if job.step is not None:
+            size = self.rows.setdefault((job.row[1], job.step), Size())
+            size.accepted += 1
+            size.done += state == "done"
+            size.cancelled += state != "done"
+            if job.started or state == "done":
+                size.begun += 1
+                if job.timed:
+                    size.in_time += job.began_s <= BEGIN_S
+                    size.late += job.began_s > BEGIN_S
+                    size.longest_s = max(size.longest_s, round(job.began_s))
 
     def turned_away(self, counts: Mapping[Row, int]) -> None:
         for row, count in counts.items():
             if count > 0:
                 self.tally(row).turned_away += count
 
-    def look(self, runs: Mapping[str, JobRun]) -> None:
-        """See which live jobs have started: of an array a task, of a gang or service all tasks at once."""
+    def look(self, runs: Mapping[str, JobRun], wall_ms: int, settled: bool = True) -> None:
+        """See which live jobs have started: of an array a task, of a gang or service all tasks at once.
+
+        `settled`: machines have had time to report to this leader. Before, what runs may have begun long ago.
+        """
         for job_id, job in self.live.items():
             run = runs.get(job_id)
-            if not job.started and run is not None:
-                job.started = has_started(run)
+            if not job.started:
+                job.began_s = max(0.0, (wall_ms - job.accepted_ms) / 1000)
+                job.started = run is not None and has_started(run)
+                if job.started and job.inherited and not settled and job.began_s > BEGIN_S:
+                    job.timed = False
+
+    def sizes(self) -> dict[str, Size]:
+        """Of each class its largest jobs, those that wait included."""
+        rows: dict[Key, Size] = {}
+        for key, size in self.rows.items():
+            rows.setdefault(key, Size()).add(size)
+        for job in (self.live | self.unsure).values():
+            if job.step is None:
+                continue
+            row = rows.setdefault((job.row[1], job.step), Size())
+            if not job.timed:
+                row.add(Size(1, begun=int(job.started)))
+                continue
+            overdue = job.began_s > BEGIN_S
+            # What waits and still may begin in time is neither.
+            in_time = job.started and not overdue
+            row.add(Size(1, int(job.started), int(in_time), int(overdue), 0, 0, round(job.began_s)))
+        return largest(rows)
 
     # -- how it stands ------------------------------------------------------------------------
 
@@ -188,13 +233,14 @@
 
     def encode(self, revision: int, room: int) -> dict[str, Any]:
         """At most so many bytes: what the smallest rows would take is kept together."""
+        sizes = encode(self.rows, room // 3)
         rows = sorted(self.tallies.items(), key=lambda item: (item[1].done + item[1].cancelled, item[0]))
         rest = Tally()
         while True:
             kept = [[*row, t.done, t.cancelled, t.cancelled_started, t.turned_away] for row, t in rows]
             if rest != Tally():
                 kept.append([REST, REST, rest.done, rest.cancelled, rest.cancelled_started, rest.turned_away])
-            value = {"through": revision, "gaps": self.gaps, "rows": kept}
+            value = {"through": revision, "gaps": self.gaps, "rows": kept, "sizes": sizes}
             if not rows or len(orjson.dumps(value)) <= room:
                 return value
             rest.add(rows.pop(0)[1])
@@ -204,11 +250,16 @@
         self.gaps = int(value["gaps"])
         for team, job_class, *counts in value["rows"]:
             self.tallies.setdefault((str(team), str(job_class)), Tally()).add(Tally(*map(int, counts)))
+        for key, size in decode(value.get("sizes", ())).items():
+            self.rows.setdefault(key, Size()).add(size)
         return int(value["through"])
 
 
 def _live(how: Ended) -> _Live:
-    return _Live((how.team, how.job_class), how.state == "done")
+    # When it began is not known any more.
+    return _Live(
+        (how.team, how.job_class), how.state == "done", step=step_of(how.size) if how.size else None, timed=False
+    )
 
 
 def has_started(run: JobRun) -> bool:
--- a/roseweir/served/desk.py
+++ b/roseweir/served/desk.py
@@ -9,11 +9,14 @@
 
 import msgspec
 
+from roseweir import clock
 from roseweir.clock import ZERO, pause, steady
+from roseweir.cloud.silence import patience
 from roseweir.http import Unreachable
 from roseweir.leadership.messages import LEADER
 from roseweir.placement.board import Board
 from roseweir.served.account import HALF, Account, Row, by, line
+from roseweir.served.largest import described
 from roseweir.served.messages import Turned, describe
 from roseweir.state import Conflict, Entry, StateClient, Trouble
 from roseweir.state.client import Item, put
@@ -71,6 +74,7 @@
         for run in self.board.jobs.values():
             if not run.over:
                 self.account.accepted(run.spec)
+                self.account.live[run.spec.id].inherited = True
 
     async def _rebuild(self) -> None:
         """Beside the leader's first steps, which do not wait for it."""
@@ -117,7 +121,7 @@
         while True:
             await pause(LOOK)
             now = steady()
-            self.account.look(self.board.jobs)
+            self._look()
             await self._settle()
             if now - gathered >= GATHER:
                 gathered = now
@@ -173,20 +177,27 @@
 
     # -- told ---------------------------------------------------------------------------------
 
+    def _look(self) -> None:
+        settled = steady() - self._began > patience(self.board)
+        self.account.look(self.board.jobs, round(clock.wall().timestamp() * 1000), settled)
+
     def describe(self) -> dict[str, Any]:
-        self.account.look(self.board.jobs)
-        return describe(self.account.standings(self.board.jobs), self.account.gaps)
+        self._look()
+        return describe(self.account.standings(self.board.jobs), self.account.gaps, self.account.sizes())
 
     def summary(self) -> dict[str, Any]:
         """For `status`: a line for each class, and the teams of which less than half is served."""
         standings = self.account.standings(self.board.jobs)
         classes = [line(name, at) for name, at in by(1, standings).items()]
+        classes += [described(name, size) for name, size in self.account.sizes().items()]
         return {"served": classes, "teams_under_half": [n for n, at in by(0, standings).items() if at.served < HALF]}
 
     def report(self) -> None:
         standings = self.account.standings(self.board.jobs)
         for name, at in by(1, standings).items():
             log.info("served: class %s", line(name, at))
+        for name, size in self.account.sizes().items():
+            log.info("served: class %s", described(name, size))
         for name, at in by(0, standings).items():
             if at.served < HALF:
                 log.info("served: team %s", line(name, at))
--- a/roseweir/served/messages.py
+++ b/roseweir/served/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from roseweir.served.account import Row, Standing, by
+from roseweir.served.largest import Size
 
 
 class Turned(msgspec.Struct):
@@ -25,12 +26,13 @@
     return {"instance": instance, "up_s": up_s, "rows": rows}
 
 
-def describe(standings: Mapping[Row, Standing], gaps: int) -> dict[str, Any]:
-    """{"teams": {name: standing}, "classes": {name: standing}, "rows": [...], "gaps"}."""
+def describe(standings: Mapping[Row, Standing], gaps: int, sizes: Mapping[str, Size]) -> dict[str, Any]:
+    """{"teams": {name: standing}, "classes": {name: standing}, "rows": [...], "largest": {class: size}, "gaps"}."""
     return {
         "teams": {name: _shown(at) for name, at in by(0, standings).items()},
         "classes": {name: _shown(at) for name, at in by(1, standings).items()},
         "rows": [{"team": row[0], "class": row[1]} | _shown(at) for row, at in sorted(standings.items())],
+        "largest": {name: asdict(size) for name, size in sizes.items()},
         "gaps": gaps,
     }
 
--- a/roseweir/submissions/jobs.py
+++ b/roseweir/submissions/jobs.py
@@ -70,6 +70,11 @@
     def estimate(self) -> timedelta:
         return seconds(self.estimate_s)
 
+    @property
+    def size(self) -> float:
+        """What its tasks take altogether: GPUs for jobs that need them, CPUs for the rest."""
+        return (self.gpus if self.gpus > 0 else self.cpus) * self.tasks
+
     @property
     def whole(self) -> bool:
         """Whether all tasks count against the team's limit together."""
@@ -102,6 +107,7 @@
     cpus: float = 0.0
     gpus: float = 0.0
     memory_gb: float = 0.0
+    size: float = 0.0  # CPUs, or GPUs if it needed any, of all its tasks together; 0: ended by an earlier version
 
     def to_spec(self, job_id: str) -> JobSpec:
         return JobSpec(
@@ -119,8 +125,8 @@
 
 def ended(spec: JobSpec, state: Literal["done", "cancelled"]) -> Ended:
     if state == "done":
-        return Ended(state, spec.tasks, spec.team, spec.job_class)
-    return Ended(state, spec.tasks, spec.team, spec.job_class, spec.cpus, spec.gpus, spec.memory_gb)
+        return Ended(state, spec.tasks, spec.team, spec.job_class, size=spec.size)
+    return Ended(state, spec.tasks, spec.team, spec.job_class, spec.cpus, spec.gpus, spec.memory_gb, spec.size)
 
 
 def stored(value: msgspec.Struct) -> Any:
--- a/tests/test_served.py
+++ b/tests/test_served.py
@@ -57,7 +57,7 @@
         if reign is not None and reign.reign is not None and reign.reign.open:
             started = {task for task, _, _ in world.attempts}
             account = reign.reign.served.account
-            account.look(reign.reign.board.jobs)
+            account.look(reign.reign.board.jobs, 0)
             teams = by(0, account.standings(reign.reign.board.jobs))
             for team, at_team in teams.items():
                 most = sum(world.jobs[task]["crew"] == team for task in started) + sum(
@@ -142,7 +142,7 @@
     for index in range(2):
         placed = board.place(run, index, board.machines["i-1"], 1, NOW)
         placed.state = wire.RUNNING
-    account.look(board.jobs)
+    account.look(board.jobs, 0)
     at = account.standings(board.jobs)["t0", "c"]
     assert (at.replicas, at.replicas_up, at.started) == (5, 2, 0) and at.served == 0.0
     account.live[run.spec.id].started = True
