--- a/roseweir/served/largest.py
+++ b/roseweir/served/largest.py
@@ -71,7 +71,7 @@
 
 
 def encode(rows: Mapping[Key, Size], room: int = 1 << 30) -> list[list[Any]]:
-    """At most so many bytes, if that can be: of the class with the most rows, those of its smallest jobs go together."""
+    """At most so many bytes, if that can be: of the class with the most rows, its smallest jobs go together."""
     kept = dict(rows)
     while True:
         value = [[name, step, *asdict(size).values()] for (name, step), size in sorted(kept.items())]
