GPUs left over in pieces: measured, spared and made whole by moving replicas

Need: on a place of model services 160 GPUs are up and at most 48 in use (--crowded), and large models wait while enough is free in total. Moves go through the drains' own steps: one budget of disruption, one record (drain/moves), the place held before anybody is stopped. What waits in pieces says so. Rental counts what replicas hold and want; before, a place of services without aims rented one machine.

--- a/roseweir/cloud/plan.py
+++ b/roseweir/cloud/plan.py
@@ -18,7 +18,7 @@
 from roseweir.placement.model import JobRun, Machine
 from roseweir.placement.plan import Pass, most_at_once
 from roseweir.settings import Objective
-from roseweir.submissions.jobs import JobSpec, MachineType
+from roseweir.submissions.jobs import SERVICE, JobSpec, MachineType
 
 # The part of the time that is left which planning uses up: estimates are often wrong by half.
 CAREFUL = 0.6
@@ -177,6 +177,8 @@
     that wait for their team's limit need no machine.
     """
     have = sum(capacity(m.type, gpu_pool, board.gpu_cpus) for m in there)
+    # Replicas do not end: what they hold, and what those that wait want, is there for nothing else.
+    endless = 0.0
     boots = [t.boot for t in board.catalog.values() if (t.gpus > 0) == gpu_pool]
     boot = min(boots, default=ZERO)
     work = need = 0.0
@@ -189,13 +191,19 @@
         pending = min(run.pending, most_at_once(board, spec) - len(run.placed))
         if pending <= 0 and not run.placed:
             continue
+        if spec.kind == SERVICE:
+            endless += unit * (max(0, pending) + len(run.placed))
+            if pending > 0:
+                need = max(need, endless)
+            continue
         work += max(0, pending) * unit * estimate.total_seconds()
         for placement in run.placed.values():
             work += unit * max(0.0, (placement.expected_end(now, estimate) - now).total_seconds())
         if pending > 0:
             age = timedelta(milliseconds=max(0, wall_ms - spec.accepted_ms))
             left = max(time_left(board, run, age + boot), estimate)
-            need = max(need, (work - have * boot.total_seconds() * WHILE_BOOTING) / left.total_seconds())
+            done_meanwhile = max(0.0, have - endless) * boot.total_seconds() * WHILE_BOOTING
+            need = max(need, endless + (work - done_meanwhile) / left.total_seconds())
     return need - have
 
 
--- a/roseweir/drain/desk.py
+++ b/roseweir/drain/desk.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from datetime import datetime, timedelta
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -20,11 +20,12 @@
 from roseweir.drain.reasons import Own
 from roseweir.drain.settings import DrainSettings
 from roseweir.drain.steps import Decision, Steps
-from roseweir.drain.store import ASK, POOL, Deposed, Found, Full, Store, encode_drain
+from roseweir.drain.store import ASK, MOVES, POOL, Deposed, Found, Full, Store, encode_drain
 from roseweir.drain.watch import Watch
 from roseweir.http import Unreachable
 from roseweir.placement.board import Board
 from roseweir.placement.model import Machine
+from roseweir.placement.plan import Pass
 from roseweir.state import StateClient, Trouble
 from roseweir.submissions.jobs import SERVICE
 
@@ -36,6 +37,18 @@
 REPORT = timedelta(seconds=15)
 
 
+class Mover(Protocol):
+    """Who moves replicas (`packing/desk.py`)."""
+
+    def use(self, value: Any) -> None:
+        """What earlier leaders meant to do."""
+
+    def propose(
+        self, decision: Decision, steps: Steps, last: Pass, refused: dict[Offer, datetime], now: datetime, wall_ms: int
+    ) -> dict[str, Any]:
+        """Add who is to stop to the decision; what is to be recorded with it."""
+
+
 class DrainDesk:
     """Idle, and without an account, until there is a drain or operators' settings ask for one."""
 
@@ -63,6 +76,8 @@
         self.on = False
         self.broken = ""  # the fault that stopped it
         self.cloud: CloudDesk | None = None
+        # Who moves replicas within the same budget, if anybody does.
+        self.mover: Mover | None = None
         self._may_act = may_act
         self._depose = depose
         self._ledger_at = self._reported = now
@@ -86,7 +101,9 @@
             self.pool.gaps[kind] = deque([now] * gaps)
         if self.own is not None and found.own:
             self.own.take(found.own)
-        if not found.is_empty or self.configured:
+        if self.mover is not None and found.moves:
+            self.mover.use(found.moves)
+        if not found.is_empty or self.configured or self.mover is not None:
             self._switch_on(found)
 
     def _switch_on(self, found: Found) -> None:
@@ -125,8 +142,11 @@
             self.pool.look(waiting, cloud.refused, now)
         self.evidence.forget(self.board.machines)
         decision = self.steps.decide(now, clock.wall())
+        moves: dict[str, Any] = {}
+        if self.mover is not None and cloud is not None:
+            moves = {MOVES: self.mover.propose(decision, self.steps, cloud.last_pass, cloud.refused, now, wall_ms())}
         try:
-            await self._record(decision, now)
+            await self._record(decision, now, moves)
         except Full as e:
             self.steps.waits[""] = str(e)
             self.steps.put_back(decision)
@@ -151,7 +171,7 @@
             log.info("drained: %s", names_of(left))
         self._report(now)
 
-    async def _record(self, decision: Decision, now: datetime) -> None:
+    async def _record(self, decision: Decision, now: datetime, more: dict[str, Any]) -> None:
         stops = {stop.run.spec.id for stop in decision.stops}
         due = bool(stops) or now - self._ledger_at >= LEDGER
         values: dict[str, Any] = {}
@@ -168,7 +188,7 @@
             "gaps": {kind: len(gaps) for kind, gaps in self.pool.gaps.items() if gaps},
             "own": None if self.own is None else self.own.encode(),
         }
-        changes = self.store.changes(values)
+        changes = self.store.changes(values | more)
         try:
             if changes:
                 await self.store.save(changes)
--- a/roseweir/drain/steps.py
+++ b/roseweir/drain/steps.py
@@ -56,6 +56,7 @@
     run: JobRun
     placements: list[Placement]
     cause: Cause
+    urgent: bool = False  # its halt does not wait for the machine's next report
 
 
 @dataclass(slots=True)
@@ -290,7 +291,7 @@
                         continue
                     seen.add(run.spec.id)
                 if forced:
-                    self._take(decision, placement, Cause.FORCED, now)
+                    self.take(decision, placement, Cause.FORCED, now)
                     continue
                 why = "quiet hours to end" if quiet else self._wait(placement, patient, now)
                 if not why and looked < LOOKED_AT:
@@ -299,7 +300,7 @@
                     if needs_room and not room_elsewhere(run, placement, open_machines, board.drained):
                         why = f"room elsewhere for {placement.name}"
                     else:
-                        why = self._take(decision, placement, Cause.DRAIN, now)
+                        why = self.take(decision, placement, Cause.DRAIN, now)
                 if why:
                     self.waits.setdefault(name, why)
 
@@ -325,7 +326,8 @@
                 return f"the next checkpoint of {placement.name}"
         return ""
 
-    def _take(self, decision: Decision, placement: Placement, cause: Cause, now: datetime) -> str:
+    def take(self, decision: Decision, placement: Placement, cause: Cause, now: datetime, urgent: bool = False) -> str:
+        """Put a task, or its whole gang, among those that are to stop, with a place in the account; why not, or ""."""
         run = placement.run
         placements = list(run.placed.values()) if run.spec.kind == GANG else [placement]
         indices = [p.index for p in placements]
@@ -335,7 +337,7 @@
             why = self.account.reserve(run, indices, now)
             if why:
                 return why
-        decision.stops.append(Stop(run, placements, cause))
+        decision.stops.append(Stop(run, placements, cause, urgent))
         return ""
 
     # -- carrying out -------------------------------------------------------------------------
@@ -373,7 +375,7 @@
             if stop.run.spec.checkpoint_s > 0 or stop.run.spec.kind == GANG:
                 board.stop_gently(still[0], now, cause=stop.cause)
             else:
-                board.stop(still[0], ZERO, now, cause=stop.cause)
+                board.stop(still[0], ZERO, now, urgent=stop.urgent, cause=stop.cause)
 
     def put_back(self, decision: Decision) -> None:
         """It could not be recorded."""
--- a/roseweir/drain/store.py
+++ b/roseweir/drain/store.py
@@ -4,6 +4,7 @@
 - `drain/steps/NN`: machines that were begun with, by name.
 - `drain/account/NN`: how far each job with something down had come, and counts of the last hour where a budget needs
   them.
+- `drain/moves`: plans to move replicas for large tasks, and who was moved lately.
 - `drain/pool`: gaps by type, and the day's counts and brakes of own reasons.
 
 A write without an answer may have run or may run yet: its key's version is read before the next write of it, and its
@@ -27,6 +28,7 @@
 
 PREFIX = "drain/"
 ASK, STEPS, ACCOUNT, POOL = PREFIX + "ask/", PREFIX + "steps/", PREFIX + "account/", PREFIX + "pool"
+MOVES = PREFIX + "moves"  # of replicas, for large tasks (`packing/`)
 STEP_PAGES, ACCOUNT_PAGES = 16, 8
 FILL = 0.8
 # A machine's entry: its own name, type, zone and drain, of some 40, 30, 30 and 40 characters at the most.
@@ -51,10 +53,16 @@
     windows: dict[str, list[list[int]]] = {}
     gaps: dict[str, int] = {}
     own: dict[str, Any] | None = None
+    moves: dict[str, Any] = {}
 
     @property
     def is_empty(self) -> bool:
-        return not (any(not d.outcome for d in self.drains) or self.cordons or any(self.gaps.values()))
+        return not (
+            any(not d.outcome for d in self.drains)
+            or self.cordons
+            or any(self.gaps.values())
+            or self.moves.get("plans")
+        )
 
 
 class Store:
@@ -102,6 +110,8 @@
         elif entry.key == POOL:
             found.gaps = value["gaps"]
             found.own = value["own"]
+        elif entry.key == MOVES:
+            found.moves = value
 
     # -- writing ------------------------------------------------------------------------------
 
--- /dev/null
+++ b/roseweir/packing/settings.py
@@ -0,0 +1,40 @@
+"""The operators' form `(packing ...)`."""
+
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from roseweir.forms import SettingsError, read_form, read_number, read_text
+
+
+class PackingSettings(msgspec.Struct):
+    """docs/packing.md gives the reason for each default."""
+
+    choose: bool = False  # places of large tasks are spared as tasks are placed
+    move: bool = False  # replicas are moved where large tasks fit nowhere
+    after: timedelta = timedelta(seconds=10)  # how long a job waits before others are moved for it
+    again: timedelta = timedelta(minutes=5)  # a replica that was moved stays for so long
+    at_once: int = 4  # replicas that may be on their way
+
+
+def parse_packing(entries: list[Any]) -> PackingSettings:
+    """Read the entries of `(packing (choose "on") (move "on") (after 10) (again 300) (at-once 4))`."""
+    found = PackingSettings()
+    for entry in entries:
+        name, args = read_form(entry)
+        if name in ("choose", "move"):
+            text = read_text(name, args)
+            if text not in ("on", "off"):
+                raise SettingsError(f'`{name}` in `packing` is "on" or "off"')
+            setattr(found, name, text == "on")
+        elif name in ("after", "again"):
+            setattr(found, name, timedelta(seconds=read_number(name, args)))
+        elif name == "at-once":
+            value = read_number(name, args, above_zero=True)
+            if value != int(value):
+                raise SettingsError("`at-once` must be a whole number")
+            found.at_once = int(value)
+        else:
+            raise SettingsError(f"unknown name `{name}` in `packing`")
+    return found
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -11,6 +11,7 @@
 
 from roseweir.clock import NEVER, ZERO, seconds
 from roseweir.limits import Limits
+from roseweir.placement.choosing import Chooser
 from roseweir.placement.headroom import Headroom
 from roseweir.placement.learning import Learning, runs_well
 from roseweir.placement.model import JobRun, Machine, Phase, Placement, new_run
@@ -114,6 +115,10 @@
         self.barren: dict[tuple[object, ...], tuple[int, datetime]] = {}
         # Machines that are being drained, and by which drain: nothing new starts on them.
         self.drained: dict[str, str] = {}
+        # Machines that are kept for one job while tasks are moved for it: its id, by machine.
+        self.held: dict[str, str] = {}
+        # Who knows about sizes of GPU tasks, if anybody does.
+        self.chooser: Chooser | None = None
         # Who keeps account of tasks' ups and downs, if anybody does.
         self.watcher: Watcher | None = None
         self.learning = Learning(self)
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -122,6 +122,8 @@
     board.hear_out(now)
     open_machines = usable(board, now)
     look = Look(board, open_machines, now)
+    if board.chooser is not None:
+        board.chooser.look(board.jobs.values(), open_machines, now)
     reserves = Reserves(_reserves(board, open_machines, now))
     waiting = queue(board, now)
     board.saving.clear()
@@ -231,7 +233,10 @@
     """CPUs for each GPU that CPU-only work has to leave free, by machine.
 
     While it may spill, only so many free GPUs are kept clear that the next GPU jobs start at once; on
-    the other machines, jobs within a guarantee take the room back when they come.
+    the other machines, jobs within a guarantee take the room back when they come. GPU jobs that wait keep the CPUs of
+    as many GPUs clear as they wait for, free or not: what CPU-only work takes of a GPU's CPUs leaves the GPU idle, and
+    its next task waits for it as well as for the GPU. At most 48 of 160 GPUs were in use while GPU jobs waited for
+    processors that replicas without GPUs held (a place of model services, `--crowded`).
     """
     gpu_machines = [m for m in machines if m.type.gpus > 0]
     if now >= board.spill_until:
@@ -244,9 +249,25 @@
         if clear > 0 and starts > 0:
             reserves[machine.name] = board.gpu_cpus
             clear -= starts
+    waiting = _gpus_waiting(board) if board.chooser is not None else 0.0
+    for machine in gpu_machines:
+        if waiting <= 0:
+            break
+        reserves[machine.name] = board.gpu_cpus
+        waiting -= machine.type.gpus
     return reserves
 
 
+def _gpus_waiting(board: Board) -> float:
+    """GPUs of tasks that wait for a place, and not for their team's limit."""
+    waiting = 0.0
+    for run in board.jobs.values():
+        spec = run.spec
+        if spec.gpus > 0 and not run.over and not run.mistaken and run.pending > 0:
+            waiting += spec.gpus * min(run.pending, quota(board, spec, Usage()))
+    return waiting
+
+
 def quota(board: Board, spec: JobSpec, claim: Usage) -> int:
     """How many more tasks the team's limit allows; whatever may still be somewhere counts.
 
@@ -303,6 +324,8 @@
     It did: a gang's two victims left one after the other, the first one's place was filled again, and
     the new task became the next victim.
     """
+    if board.held.get(machine.name, spec.id) != spec.id:
+        return True
     return _promised_to(board, machine, now) not in ("", spec.id)
 
 
@@ -328,6 +351,11 @@
     # A class that must start soon has no time to fetch: machines that hold its images are taken last.
     precious = 0.0 if spec.image in look.board.prompt_images else look.precious(machine)
     left = machine.free_gpus if spec.gpus > 0 else machine.free_cpus / machine.type.cpus
+    chooser = look.board.chooser
+    if chooser is not None and spec.gpus > 0:
+        # A broken place is gone for longer than a fetch takes. Among equals, long tasks go beside long ones.
+        breaks = chooser.breaks(machine, spec)
+        return (scarce, breaks, precious, image, left + chooser.mixes(machine, spec) * 0.5)
     if look.board.headroom.urgent(spec):
         # A fetch takes longer than it may.
         return (image, wasted, scarce, precious, left)
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -15,6 +15,7 @@
 from roseweir.http import Connect, Unreachable
 from roseweir.leadership.leadership import Term
 from roseweir.limits.rules import renew_class_limits, renew_fetch_limits
+from roseweir.packing.choice import Choice
 from roseweir.placement.board import Board
 from roseweir.placement.plan import Pass, plan
 from roseweir.placement.recorder import Deposed, Recorder
@@ -27,6 +28,7 @@
 
 if TYPE_CHECKING:
     from roseweir.forecast.desk import AheadDesk
+    from roseweir.packing.desk import PackingDesk
 
 log = logging.getLogger(__name__)
 
@@ -62,6 +64,9 @@
         self.board = Board(settings, tuning, term.number, steady())
         self.board.catalog = {kind.name: kind for kind in catalog}
         self.board.epoch = steady() - timedelta(seconds=clock.wall().timestamp())
+        choice = Choice()
+        if tuning.packing.choose or tuning.packing.move:
+            self.board.chooser = choice
         recorded = Bell()
         self.recorder = Recorder(state, self.board, term.version, recorded)
         self.work = asyncio.Event()
@@ -78,6 +83,11 @@
         planners = [self.drain.plan] if self.ahead is None else [self.ahead.plan, self.drain.plan]
         self.cloud = CloudDesk(cloud, self.board, term.may_run, connect, planners)
         self.drain.cloud = self.cloud
+        self.packing: PackingDesk | None = None
+        if tuning.packing.move:
+            from roseweir.packing import desk as packing_desk
+
+            self.packing = self.drain.mover = packing_desk.PackingDesk(tuning.packing, self.board, choice)
         self.hurry = asyncio.Event()  # work that must start at once has come
         self.open = False  # rebuilt: reports are taken
 
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -327,6 +327,8 @@
                 answer |= reign.ahead.summary()
             answer |= reign.drain.summary()
             answer |= reign.served.summary()
+            if reign.packing is not None:
+                answer |= reign.packing.summary()
         return answer
 
     def _count(self, job_id: str) -> tuple[int, int]:
--- a/roseweir/tuning.py
+++ b/roseweir/tuning.py
@@ -3,17 +3,19 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import sexpdata
 
 from roseweir.forms import SettingsError, read_form
 from roseweir.limits.settings import LimitSettings, parse_limits
+from roseweir.packing.settings import PackingSettings, parse_packing
 
 if TYPE_CHECKING:
     from roseweir.calendars import Calendar
     from roseweir.drain.settings import DrainSettings
     from roseweir.forecast.settings import AheadSettings
 
-FORMS = ("startup-limits", "renting-ahead", "calendar", "disruption", "replacement")
+FORMS = ("startup-limits", "renting-ahead", "calendar", "disruption", "replacement", "packing")
 
 
 class Tuning(LimitSettings):
@@ -21,6 +23,8 @@
 
     # Renting ahead of demand; None: off, and nothing of it is loaded.
     ahead: "AheadSettings | None" = None
+    # Where tasks with GPUs go, and whether replicas are moved for large ones.
+    packing: PackingSettings = msgspec.field(default_factory=PackingSettings)
     # Budgets of disruption and own reasons to replace machines; None: operators' drains alone, with the defaults.
     drain: "DrainSettings | None" = None
 
@@ -59,6 +63,8 @@
             from roseweir.forecast.settings import parse_ahead
 
             tuning.ahead = parse_ahead(rest)
+        elif head == "packing":
+            tuning.packing = parse_packing(rest)
         elif head in ("disruption", "replacement"):
             from roseweir.drain.settings import DrainSettings, parse_disruption, parse_replacement
 
