--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -9,6 +9,8 @@
 from datetime import datetime, timedelta
 from typing import Any
 
+import msgspec
+
 from roseweir.clock import NEVER, ZERO, seconds
 from roseweir.limits import Limits
 from roseweir.placement.choosing import Chooser
@@ -17,7 +19,7 @@
 from roseweir.placement.model import JobRun, Machine, Phase, Placement, new_run
 from roseweir.placement.watch import Cause, Watcher
 from roseweir.settings import Settings
-from roseweir.submissions.jobs import GANG, SERVICE, Ended, JobSpec, MachineType
+from roseweir.submissions.jobs import GANG, SERVICE, Ended, JobSpec, MachineType, read_spec, read_what_can_be
 from roseweir.tuning import Tuning
 from roseweir.workers import messages as wire
 
@@ -150,6 +152,18 @@
             self.changed = True
         return run
 
+    def add_record(self, job_id: str, value: object, version: int) -> JobRun:
+        """A live job as it is recorded. One whose record can't be read stays known, and says so: nothing of it starts,
+        and what runs of it counts. It ended every leader's term in turn otherwise, and with it everybody's service."""
+        try:
+            return self.add_job(read_spec(value), version)
+        except (msgspec.ValidationError, TypeError, ValueError) as e:
+            run = self.add_job(read_what_can_be(job_id, value), version)
+            if not run.held:
+                log.error("the record of job %s can't be read, it is held: %s", job_id, e)
+            run.held = f"its record to be readable: {e}"
+            return run
+
     def hear_out(self, now: datetime) -> None:
         """A service that was taken for mistaken as it began may run well by now."""
         for run in self.jobs.values():
--- a/roseweir/placement/explain.py
+++ b/roseweir/placement/explain.py
@@ -30,12 +30,16 @@
 
 def _waits_for(board: Board, run: JobRun, now: datetime) -> str | None:
     spec = run.spec
+    if run.held:
+        return run.held
     if run.over:
         return f"nothing, it is {run.over}; its tasks leave"
     if run.stopping:
         return "the rest of its last attempt to end"
     if not run.pending:
         return None
+    if spec.team not in board.teams:
+        return f"its team, {spec.team}, to be in the settings again"
     if quota(board, spec, Usage()) < (run.pending if spec.whole else 1):
         return "its team's limit"
     count, unwanted = board.limits.adjust(spec, source_of(spec), run.pending, now)
--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -76,6 +76,7 @@
     sound: bool = False  # a service whose replicas have run well: what fails is not its own fault
     attempt: int = 0  # of a gang that is on machines
     stopping: bool = False  # a gang that falls apart: every mate must go before it restarts
+    held: str = ""  # why nothing of it may start now, whatever room there is
     covered: bool = False
     begun: bool = False  # a task of it has run, as far as this leader knows
     age: int = 0  # how long it has waited counts for this much (`placement/elders.py`)
@@ -107,7 +108,7 @@
     @property
     def pending(self) -> int:
         """Tasks that wait for a place."""
-        if self.over:
+        if self.over or self.held:
             return 0
         missing = self.spec.tasks - self.done_count - len(self.placed)
         if self.spec.kind == GANG and self.placed:
--- a/roseweir/placement/recorder.py
+++ b/roseweir/placement/recorder.py
@@ -24,7 +24,6 @@
     Ended,
     ended,
     read_ended,
-    read_spec,
     stored,
 )
 from roseweir.submissions.progress import at_the_end, chunk_key, decode_bits, encode_bits
@@ -141,7 +140,7 @@
     def _use(self, live: list[Entry], done: list[Entry], places: list[Entry], over: dict[str, Ended]) -> None:
         board = self.board
         for entry in live:
-            board.add_job(read_spec(entry.value), entry.version)
+            board.add_record(entry.key.removeprefix(LIVE), entry.value, entry.version)
         for job_id, gone in over.items():
             board.add_job(gone.to_spec(job_id), 0).over = gone.state
         for entry in done:
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -22,7 +22,7 @@
 from roseweir.served.desk import Gather, ServedDesk
 from roseweir.settings import Settings
 from roseweir.state import StateClient, Trouble
-from roseweir.submissions.jobs import LIVE, MachineType, ended, read_spec
+from roseweir.submissions.jobs import LIVE, MachineType, ended
 from roseweir.tuning import Tuning
 from roseweir.workers.desk import WorkerDesk
 
@@ -175,7 +175,7 @@
     def _learn(self, job_id: str, value: object, version: int, revision: int) -> None:
         """`revision`: what is newer than this comes again, and is counted then."""
         if value is not None:
-            accepted = self.board.add_job(read_spec(value), version)
+            accepted = self.board.add_record(job_id, value, version)
             if self.board.headroom.urgent(accepted.spec):
                 self.hurry.set()
             self.served.account.accepted(accepted.spec)
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -50,6 +50,8 @@
 BACK_CONNECTIONS = 32
 # Jobs asked about in one request to the leader: it has to fit 64 KiB.
 ASKED_AT_ONCE = 2000
+# Jobs that `status` names of those that may not start.
+HELD_TOLD = 20
 
 
 class Service:
@@ -316,6 +318,7 @@
                 "jobs": len(board.jobs),
                 "tasks_waiting": sum(run.pending for run in board.jobs.values()),
                 "tasks_placed": sum(len(run.placed) for run in board.jobs.values()),
+                "jobs_held": [f"{run.spec.id}: {run.held}" for run in board.jobs.values() if run.held][:HELD_TOLD],
                 "machines": len(board.machines),
                 "machines_booting": sum(m.booting for m in board.machines.values()),
                 "machines_overdue": len(board.overdue(steady())),
--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -28,6 +28,7 @@
     ended,
     read_ended,
     read_spec,
+    read_what_can_be,
     refusal,
     stored,
 )
@@ -43,6 +44,9 @@
 # seconds' worth may come at once. The ends of their jobs can wait for the records of starts.
 GUEST_SHARE, GUEST_BURST = 0.4, 10.0
 REMEMBERED = 20_000
+# The part of the state service's requests that this node may spend on reads for polls, what of it is for jobs that were
+# refused one before, and how many of these it remembers.
+READS, READS_AGAIN, REFUSED_MOST = 0.25, 0.05, 4096
 # Teams and classes told apart; what is more is kept together.
 ROWS, REST = 256, "*"
 TRIES = 3
@@ -66,7 +70,11 @@
         # Requests answered with a time to come back, by team and class, since this process started.
         self.turned_away: dict[tuple[str, str], int] = {}
         # A flood of polls must leave the state service to renewals and records.
-        self._reads = Pace(settings.params.state.rps * 0.25)
+        self._reads = Pace(settings.params.state.rps * (READS - READS_AGAIN))
+        # Whoever was refused a read has some of them left to it: a flood of questions about one job after another
+        # could keep any one job without an answer for as long as it lasts.
+        self._reads_again = Pace(settings.params.state.rps * READS_AGAIN)
+        self._refused: OrderedDict[str, None] = OrderedDict()
         guests = settings.params.state.write_rps * GUEST_SHARE / (len(settings.peers) + 1)
         self._guests = Pace(guests, GUEST_BURST)
 
@@ -196,7 +204,7 @@
         if live is not None:
             done, running = live
             return ("running" if running else "queued"), done, running
-        self._spend()
+        self._spend(job_id)
         over = await self.state.get(OVER + job_id)
         if over is None:
             return None
@@ -204,9 +212,14 @@
         self._remember(job_id, found.state)
         return found.state, found.tasks if found.state == "done" else 0, 0
 
-    def _spend(self) -> None:
-        if not self._reads.spend():
-            raise Busy
+    def _spend(self, job_id: str) -> None:
+        if self._reads.spend() or (job_id in self._refused and self._reads_again.spend()):
+            self._refused.pop(job_id, None)
+            return
+        self._refused[job_id] = None
+        if len(self._refused) > REFUSED_MOST:
+            self._refused.popitem(last=False)
+        raise Busy
 
     def _remember(self, job_id: str, state: str) -> None:
         self._ended[job_id] = state
@@ -223,7 +236,10 @@
             if live is None:
                 known = await self._known(job_id)
                 return known or json_response(404, {"error": "no such job"})
-            spec = read_spec(live.value)
+            try:
+                spec = read_spec(live.value)
+            except msgspec.ValidationError:
+                spec = read_what_can_be(job_id, live.value)
             ops = [put(OVER + job_id, stored(ended(spec, "cancelled"))), delete(LIVE + job_id)]
             # What does not fit is tidied up by the leader, as it learns of the end.
             with_it, _ = at_the_end(job_id, chunks_of(spec.tasks), self.state.settings.txn_ops)
--- a/roseweir/submissions/jobs.py
+++ b/roseweir/submissions/jobs.py
@@ -137,6 +137,18 @@
     return msgspec.convert(value, JobSpec)
 
 
+def read_what_can_be(job_id: str, value: Any) -> JobSpec:
+    """Of a record that is none: what its tasks take and whose they are, as far as it tells, so that they count."""
+    found = JobSpec(job_id, "", "", ARRAY, 3, 1, 0.0, 0.0, 0.0)
+    for name, given in value.items() if isinstance(value, dict) else ():
+        if name != "id" and name in JobSpec.__struct_fields__:
+            try:
+                found = msgspec.convert(msgspec.to_builtins(found) | {name: given}, JobSpec)
+            except msgspec.ValidationError:
+                continue
+    return found
+
+
 def read_ended(value: Any) -> Ended:
     return msgspec.convert(value, Ended)
 
