Chains: amendments whose steps follow one another, durable, released once, going on whoever fails

An amendment lands, boundaries, reprojection and tiles follow by themselves, also overnight. Chosen: a step is an accepted job that names what it follows, so that polls, cancels, records and take-overs are those of any job; the chain itself is a few bytes on a page shared by many, written as it is taken and as it ends. Found on the way: a chain whose first step ended in a take-over stood still for ever (the step was on the board for its places' sake); an older delivery could follow the newer one; ended chains moved between pages and cost a change more.

--- a/roseweir/cli.py
+++ b/roseweir/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `roseweir serve`, `check-config`, `limits`, `status`, `forecast`, `drain`."""
+"""The command line: `roseweir serve`, `check-config`, `status` and the operators' verbs of each slice."""
 
 import argparse
 import asyncio
@@ -11,6 +11,7 @@
 from typing import Any
 
 from roseweir import __version__
+from roseweir.chains import cli as chains
 from roseweir.drain import cli as drain
 from roseweir.forecast import cli as forecast
 from roseweir.forms import SettingsError
@@ -68,6 +69,7 @@
     status.add_argument("--job", metavar="ID", help="what an unfinished job waits for; ask the leader")
     question(commands.add_parser("served", help="show who is served, by team and class; ask the leader"), "served")
     drain.add_commands(commands)
+    chains.add_commands(commands)
     forecast.add_commands(commands, lambda ask: question(ask, "forecast"))
     return parser
 
--- a/roseweir/drain/cli.py
+++ b/roseweir/drain/cli.py
@@ -1,19 +1,15 @@
 """`roseweir drain NAME`, `drain status` and `drain stop`."""
 
 import argparse
-import asyncio
 import sys
 import time
 from collections.abc import Callable, Sequence
-from datetime import timedelta
 from typing import Any
 
+from roseweir.asking import post, print_json
 from roseweir.drain.model import RESERVED
 from roseweir.forms import SettingsError
 
-PATIENCE = timedelta(seconds=6)
-# An operator's request is repeated under its name for so long: taken twice, it is the same drain.
-TRIES, TRY_GAP = 8, 1.0
 LOOK = 2.0
 
 
@@ -88,76 +84,42 @@
         "force": args.then == "force",
         "replace": not args.no_replace,
     }
-    answer = _post(args.at, {"verb": "start", "ask": ask})
+    answer = post(args.at, "/drains", {"verb": "start", "ask": ask})
     if args.json:
-        _print_json(answer)
+        print_json(answer)
     else:
         _print_drain(answer["drain"])
     return _watch(args.at, args.name) if args.wait else 0
 
 
 def _status(args: argparse.Namespace) -> int:
-    answer = _post(args.at, {"verb": "status"})
+    answer = post(args.at, "/drains", {"verb": "status"})
     if args.name is not None:
         rows = [row for row in answer["drains"] + answer["ended"] if row["name"] == args.name]
         if not rows:
             raise SettingsError(f"no drain is called {args.name}")
         answer = answer | {"drains": rows, "ended": []}
     if args.json:
-        _print_json(answer)
+        print_json(answer)
     else:
         _print_all(answer)
     return 0
 
 
 def _stop(args: argparse.Namespace) -> int:
-    answer = _post(args.at, {"verb": "stop", "name": args.name})
+    answer = post(args.at, "/drains", {"verb": "stop", "name": args.name})
     if args.json:
-        _print_json(answer)
+        print_json(answer)
     else:
         _print_drain(answer["drain"])
     return 0
 
 
-class NoAnswer(Exception):
-    pass
-
-
-def _post(at: str, order: dict[str, Any]) -> dict[str, Any]:
-    """The answer; SettingsError for what is refused, SystemExit 1 if nobody answers."""
-    from roseweir.http import Client, Unreachable
-
-    host, _, port = at.rpartition(":")
-    if not host or not port.isdigit():
-        raise SettingsError(f"--at: `{at}` is not HOST:PORT")
-
-    async def ask() -> Any:
-        return await Client(at, pool=0).request("POST", "/drains", order, patience=PATIENCE)
-
-    why = ""
-    for number in range(TRIES):
-        if number:
-            time.sleep(TRY_GAP)
-        try:
-            reply = asyncio.run(ask())
-            answer: dict[str, Any] = reply.json()
-        except (Unreachable, ValueError) as e:
-            why = f"no answer: {e}"
-            continue
-        if reply.status in (200, 201):
-            return answer
-        why = str(answer.get("error", reply.status))
-        if reply.status == 400:
-            raise SettingsError(why)
-    print(f"roseweir: {why}", file=sys.stderr)
-    raise SystemExit(1)
-
-
 def _watch(at: str, name: str) -> int:
     """A line for each change until the drain has ended."""
     said = ""
     while True:
-        answer = _post(at, {"verb": "status"})
+        answer = post(at, "/drains", {"verb": "status"})
         row = next((r for r in answer["drains"] + answer["ended"] if r["name"] == name), None)
         if row is None:
             print(f"roseweir: {name} has ended long ago", file=sys.stderr)
@@ -180,12 +142,6 @@
     return ", ".join(f"{count} {step}" for step, count in row["machines"].items()) or "none left"
 
 
-def _print_json(answer: dict[str, Any]) -> None:
-    import orjson
-
-    print(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
-
-
 def _print_drain(row: dict[str, Any]) -> None:
     print(f"{row['name']:20} {row['state']}" + (f" ({row['reason']})" if row["reason"] else ""))
     print(f"  machines           {row['machines_gone']} of {row['machines_chosen']} gone, {_steps(row)}")
--- a/roseweir/drain/desk.py
+++ b/roseweir/drain/desk.py
@@ -20,13 +20,14 @@
 from roseweir.drain.reasons import Own
 from roseweir.drain.settings import DrainSettings
 from roseweir.drain.steps import Decision, Steps
-from roseweir.drain.store import ASK, MOVES, POOL, Deposed, Found, Full, Store, encode_drain
+from roseweir.drain.store import ASK, MOVES, POOL, Found, Full, Store, encode_drain
 from roseweir.drain.watch import Watch
 from roseweir.http import Unreachable
 from roseweir.placement.board import Board
 from roseweir.placement.model import Machine
 from roseweir.placement.plan import Pass
 from roseweir.state import StateClient, Trouble
+from roseweir.state.keyed import Deposed
 from roseweir.submissions.jobs import SERVICE
 
 log = logging.getLogger(__name__)
--- a/roseweir/drain/messages.py
+++ b/roseweir/drain/messages.py
@@ -27,19 +27,6 @@
     return order
 
 
-def was_passed_on(body: bytes) -> bool:
-    try:
-        return read("POST", body).passed_on
-    except ValueError:
-        return False
-
-
-def pass_on(method: str, body: bytes) -> Any:
-    order = read(method, body)
-    order.passed_on = True
-    return msgspec.to_builtins(order)
-
-
 async def serve(desk: "DrainDesk", method: str, body: bytes) -> tuple[int, dict[str, Any]]:
     """Status and answer: 200, 201 for a new drain, 400 for what is refused, 503 to ask again."""
     try:
--- a/roseweir/drain/store.py
+++ b/roseweir/drain/store.py
@@ -6,9 +6,6 @@
   them.
 - `drain/moves`: plans to move replicas for large tasks, and who was moved lately.
 - `drain/pool`: gaps by type, and the day's counts and brakes of own reasons.
-
-A write without an answer may have run or may run yet: its key's version is read before the next write of it, and its
-guard lets one of the tries count.
 """
 
 import logging
@@ -19,10 +16,8 @@
 
 from roseweir.drain.model import Drain
 from roseweir.drain.pool import Cordon
-from roseweir.http import Unreachable
-from roseweir.leadership.messages import LEADER
-from roseweir.state import Conflict, Entry, StateClient, Trouble
-from roseweir.state.client import delete, put
+from roseweir.state import Entry, StateClient, Trouble
+from roseweir.state.keyed import Keyed
 
 log = logging.getLogger(__name__)
 
@@ -33,11 +28,6 @@
 FILL = 0.8
 # A machine's entry: its own name, type, zone and drain, of some 40, 30, 30 and 40 characters at the most.
 ENTRY = 200
-TXN_BYTES = 48 * 1024
-
-
-class Deposed(Exception):
-    """Another leads."""
 
 
 class Full(Exception):
@@ -65,16 +55,12 @@
         )
 
 
-class Store:
+class Store(Keyed):
     def __init__(self, state: StateClient, leader_version: int) -> None:
-        self.state = state
-        self.leader_version = leader_version
+        super().__init__(state, leader_version, "drains")
         self.room = int(min(state.settings.value_kb * 1024, 8192) * FILL)
         # Machines that surely fit the list of steps: ENTRY bytes each, and a page may end with an entry's room unused.
         self.most = STEP_PAGES * max(1, self.room // ENTRY - 1)
-        self.versions: dict[str, int] = {}
-        self._written: dict[str, bytes] = {}
-        self._unsure: set[str] = set()
         self._page: dict[str, int] = {}  # machine: page of its step
 
     # -- reading ------------------------------------------------------------------------------
@@ -86,10 +72,9 @@
     def use(self, entries: list[Entry]) -> Found:
         """Raises Trouble if a key can't be read: a leader must not lead on without knowing what is drained."""
         found = Found([], {}, {}, {}, {})
-        self.versions, self._written, self._page = {}, {}, {}
+        self.load(entries)
+        self._page = {}
         for entry in entries:
-            self.versions[entry.key] = entry.version
-            self._written[entry.key] = orjson.dumps(entry.value)
             try:
                 self._use(found, entry)
             except (msgspec.ValidationError, KeyError, TypeError, ValueError) as e:
@@ -158,60 +143,6 @@
             values[f"{ACCOUNT}{n:02d}"] = pages[n] if n < len(pages) else {"reached": {}, "windows": {}}
         return values
 
-    def changes(self, values: dict[str, Any]) -> dict[str, Any]:
-        """Those that differ from what is there; an empty one that is not there is no change."""
-        found: dict[str, Any] = {}
-        for key, value in values.items():
-            before = self._written.get(key)
-            empty = value is None or not any(value.values())
-            if key in self._unsure or (before is None and not empty) or (before and orjson.dumps(value) != before):
-                found[key] = value
-        return found
-
-    async def save(self, changes: dict[str, Any]) -> None:
-        """Write keys in their order, as few transactions as they fit. None deletes. Trouble, Unreachable or Deposed."""
-        most = self.state.settings.txn_ops
-        batch: dict[str, Any] = {}
-        size = 0
-        for key, value in changes.items():
-            if key in self._unsure:
-                entry = await self.state.get(key)
-                self.versions[key] = 0 if entry is None else entry.version
-                self._unsure.discard(key)
-            each = len(orjson.dumps(value)) + len(key) + 64
-            if batch and (size + each > TXN_BYTES or len(batch) >= most):
-                await self._write(batch)
-                batch, size = {}, 0
-            batch[key] = value
-            size += each
-        if batch:
-            await self._write(batch)
-
-    async def _write(self, batch: dict[str, Any]) -> None:
-        guards = [(LEADER, self.leader_version), *((key, self.versions.get(key, 0)) for key in batch)]
-        ops = [
-            put(key, value) if value is not None else delete(key)
-            for key, value in batch.items()
-            if value is not None or self.versions.get(key, 0)
-        ]
-        try:
-            revision = await self.state.txn(guards, ops)
-        except Conflict as e:
-            if LEADER in e.failed:
-                raise Deposed("the leader's key has changed") from e
-            self._unsure |= batch.keys()
-            raise Trouble(f"drains: record out of date: {', '.join(e.failed)}") from e
-        except (Trouble, Unreachable):
-            self._unsure |= batch.keys()
-            raise
-        for key, value in batch.items():
-            if value is None:
-                self.versions.pop(key, None)
-                self._written.pop(key, None)
-            else:
-                self.versions[key] = revision
-                self._written[key] = orjson.dumps(value)
-
 
 def encode_drain(drain: Drain) -> dict[str, Any]:
     value: dict[str, Any] = msgspec.to_builtins(drain)
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -133,6 +133,9 @@
         run = self.jobs.get(spec.id)
         if run is None:
             run = self.jobs[spec.id] = new_run(spec, version)
+            if spec.chain:
+                # Until whoever keeps its chain lets it go.
+                run.held = "the steps that it follows"
             self.roster_changed = True
             if spec.gpus > 0:
                 self.least_gpus = min(self.least_gpus, spec.gpus)
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -65,7 +65,7 @@
     for run in sorted(board.jobs.values(), key=_arrival):
         spec = run.spec
         team = board.teams.get(spec.team)
-        if run.over or team is None:
+        if run.over or team is None or run.held:
             run.covered = False
             continue
         counted = spec.tasks
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -8,6 +8,8 @@
 
 from roseweir import clock
 from roseweir.bell import Bell
+from roseweir.chains.desk import ChainDesk
+from roseweir.chains.settings import ChainSettings
 from roseweir.clock import NEVER, SLEPT, pause, seconds, steady, within
 from roseweir.cloud.client import CloudClient
 from roseweir.cloud.desk import CloudDesk
@@ -78,7 +80,11 @@
 
             self.ahead = desk.AheadDesk(tuning.ahead, self.board, state, term.version, term.end)
         self.served = ServedDesk(self.board, state, term.version, term.end, turned_away)
-        self.recorder.on_end = self.served.account.over
+        self.chains = ChainDesk(
+            tuning.chain or ChainSettings(), self.board, state, term.version, term.may_run, term.end, self.board.teams
+        )
+        self.chains.revision = lambda: self.served.revision
+        self.recorder.on_end = self._job_ended
         self.drain = DrainDesk(tuning.drain, self.board, state, term.version, term.may_run, term.end)
         planners = [self.drain.plan] if self.ahead is None else [self.ahead.plan, self.drain.plan]
         self.cloud = CloudDesk(cloud, self.board, term.may_run, connect, planners)
@@ -91,6 +97,11 @@
         self.hurry = asyncio.Event()  # work that must start at once has come
         self.open = False  # rebuilt: reports are taken
 
+    def _job_ended(self, job_id: str, state: str) -> None:
+        """The state service holds the job's end."""
+        self.served.account.over(job_id, state)
+        self.chains.over(job_id, state)
+
     async def run(self) -> None:
         revision = await self._rebuild()
         self.open = True
@@ -104,6 +115,7 @@
             group.create_task(self.cloud.run())
             group.create_task(self.drain.run())
             group.create_task(self.served.run())
+            group.create_task(self.chains.run())
             if self.ahead is not None:
                 group.create_task(self.ahead.run())
 
@@ -114,6 +126,7 @@
             try:
                 # First: what is rebuilt can't be rebuilt again.
                 drains = await self.drain.read()
+                chains = await self.chains.read()
                 revision = await self.recorder.rebuild()
             except (Trouble, Unreachable) as e:
                 log.info("rebuilding: %s", e)
@@ -121,6 +134,7 @@
                 continue
             self.workers.news_at = sent
             self.drain.use(drains)
+            self.chains.use(chains)
             self.served.begin(revision)
             if self.ahead is not None:
                 for run in self.board.jobs.values():
--- a/roseweir/served/account.py
+++ b/roseweir/served/account.py
@@ -83,6 +83,7 @@
     accepted_ms: int = 0
     began_s: float = 0.0  # seconds from its acceptance until it began, or so far
     inherited: bool = False  # from an earlier leader
+    held: bool = False  # it waits for others' ends, or cannot be read: nobody could serve it
     timed: bool = True  # when it began is known
 
 
@@ -156,7 +157,7 @@
         else:
             tally.cancelled += 1
             tally.cancelled_started += job.started
-        if job.step is not None:
+        if job.step is not None and not job.held:
             size = self.rows.setdefault((job.row[1], job.step), Size())
             size.accepted += 1
             size.done += state == "done"
@@ -180,7 +181,10 @@
         """
         for job_id, job in self.live.items():
             run = runs.get(job_id)
-            if not job.started:
+            job.held = run is not None and bool(run.held)
+            if run is not None and not job.held:
+                job.accepted_ms = run.spec.accepted_ms
+            if not job.started and not job.held:
                 job.began_s = max(0.0, (wall_ms - job.accepted_ms) / 1000)
                 job.started = run is not None and has_started(run)
                 if job.started and job.inherited and not settled and job.began_s > BEGIN_S:
@@ -192,7 +196,7 @@
         for key, size in self.rows.items():
             rows.setdefault(key, Size()).add(size)
         for job in (self.live | self.unsure).values():
-            if job.step is None:
+            if job.step is None or job.held:
                 continue
             row = rows.setdefault((job.row[1], job.step), Size())
             if not job.timed:
@@ -213,6 +217,8 @@
             started = tally.done + tally.cancelled_started
             found[row] = Standing(ended, started, tally.done, tally.cancelled, tally.turned_away)
         for job_id, job in (self.live | self.unsure).items():
+            if job.held:
+                continue
             at = found.setdefault(job.row, Standing())
             at.accepted += 1
             at.started += job.started
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -10,7 +10,9 @@
 from typing import Any
 
 import msgspec
+import orjson
 
+from roseweir.chains import messages as chains
 from roseweir.clock import NEVER, pause, seconds, steady
 from roseweir.cloud.client import CloudClient, NoCapacity
 from roseweir.connections import Room, Side
@@ -45,7 +47,7 @@
 
 CATALOG = "catalog/types"
 RETRY = seconds(0.2)
-DRAIN_PATIENCE = seconds(4)
+ORDER_PATIENCE = seconds(4)
 ADDRESS_PATIENCE, ADDRESS_RETRY = seconds(5), seconds(0.02)
 BACK_CONNECTIONS = 32
 # Jobs asked about in one request to the leader: it has to fit 64 KiB.
@@ -221,7 +223,9 @@
         if path == "/turned-away":
             return json_response(200, self._turned_away())
         if path == "/drains":
-            return await self._drains(request)
+            return await self._by_the_leader(request, "/drains", lambda reign: reign.drain, drains.serve)
+        if path == "/chains":
+            return await self._by_the_leader(request, "/chains", lambda reign: reign.chains, chains.serve)
         if path == "/forecast":
             return json_response(200, self.forecast())
         if path.startswith("/job/"):
@@ -234,22 +238,31 @@
             return json_response(200, {job_id: self._count(job_id) for job_id in jobs})
         return json_response(404, {"error": "no such path"})
 
-    async def _drains(self, request: Request) -> Response:
-        """Drains as they stand (GET), or one to take or stop (POST). A node that does not lead passes it on, once."""
+    async def _by_the_leader(
+        self,
+        request: Request,
+        path: str,
+        desk: Callable[[Reign], Any],
+        serve: Callable[[Any, str, bytes], Awaitable[tuple[int, dict[str, Any]]]],
+    ) -> Response:
+        """Operators' orders, or how things stand (GET). A node that does not lead passes them on, once."""
         reign = self.reign
         if reign is not None and reign.open:
-            status, answer = await drains.serve(reign.drain, request.method, request.body)
-            return json_response(status, self._who() | answer, None if status < 500 else RETRY)
+            status, answer = await serve(desk(reign), request.method, request.body)
+            back = seconds(answer["come_back_s"]) if "come_back_s" in answer else RETRY
+            return json_response(status, self._who() | answer, back if status in (429, 503) else None)
         leader = self.leadership.leader
         peer = None if leader is None else self.membership.peer(leader.name)
-        if peer is not None and not drains.was_passed_on(request.body):
+        try:
+            order = orjson.loads(request.body) if request.method == "POST" and request.body else {}
+        except orjson.JSONDecodeError as e:
+            return json_response(400, {"error": f"not JSON: {e}"})
+        if peer is not None and isinstance(order, dict) and not order.get("passed_on"):
             try:
-                reply = await peer(
-                    "POST", "/drains", drains.pass_on(request.method, request.body), patience=DRAIN_PATIENCE
-                )
+                reply = await peer("POST", path, order | {"passed_on": True}, patience=ORDER_PATIENCE)
                 return Response(reply.status, reply.body)
             except (Unreachable, ValueError) as e:
-                log.info("drains: the leader did not answer: %s", e)
+                log.info("%s: the leader did not answer: %s", path, e)
         return json_response(503, self._who() | {"error": "no leader answers; ask again, by the same name"}, RETRY)
 
     def _served(self) -> Response:
@@ -330,6 +343,7 @@
                 answer |= reign.ahead.summary()
             answer |= reign.drain.summary()
             answer |= reign.served.summary()
+            answer |= reign.chains.summary()
             if reign.packing is not None:
                 answer |= reign.packing.summary()
         return answer
--- /dev/null
+++ b/roseweir/state/keyed.py
@@ -0,0 +1,101 @@
+"""Keys that one leader writes: guarded by the leader's key and their own versions, only where they differ.
+
+A write without an answer may have run or may run yet: its key's version is read before the next write of it, and its
+guard lets one of the tries count.
+"""
+
+from typing import Any
+
+import orjson
+
+from roseweir.http import Unreachable
+from roseweir.leadership.messages import LEADER
+from roseweir.state.client import Conflict, Entry, StateClient, Trouble, delete, put
+
+TXN_BYTES = 48 * 1024
+
+
+class Deposed(Exception):
+    """Another leads."""
+
+
+class Keyed:
+    def __init__(self, state: StateClient, leader_version: int, what: str) -> None:
+        """`what`: whose record it is, for messages."""
+        self.state = state
+        self.leader_version = leader_version
+        self.versions: dict[str, int] = {}
+        self._what = what
+        self._written: dict[str, bytes] = {}
+        self._unsure: set[str] = set()
+
+    def load(self, entries: list[Entry]) -> None:
+        """What is there as this leader begins."""
+        self.versions = {entry.key: entry.version for entry in entries}
+        self._written = {entry.key: orjson.dumps(entry.value) for entry in entries}
+
+    def changes(self, values: dict[str, Any]) -> dict[str, Any]:
+        """Those that differ from what is there; an empty one that is not there is no change."""
+        found: dict[str, Any] = {}
+        for key, value in values.items():
+            before = self._written.get(key)
+            empty = value is None or not any(value.values())
+            if key in self._unsure or (before is None and not empty) or (before and orjson.dumps(value) != before):
+                found[key] = value
+        return found
+
+    async def save(self, changes: dict[str, Any]) -> None:
+        """Write keys in their order, as few transactions as they fit. None deletes. Trouble, Unreachable or Deposed."""
+        most = self.state.settings.txn_ops
+        batch: dict[str, Any] = {}
+        size = 0
+        for key, value in changes.items():
+            await self.sure_of(key)
+            each = len(orjson.dumps(value)) + len(key) + 64
+            if batch and (size + each > TXN_BYTES or len(batch) >= most):
+                await self.write(batch)
+                batch, size = {}, 0
+            batch[key] = value
+            size += each
+        if batch:
+            await self.write(batch)
+
+    async def sure_of(self, key: str) -> None:
+        """Learn the version that an unanswered write may have left behind."""
+        if key in self._unsure:
+            entry = await self.state.get(key)
+            self.versions[key] = 0 if entry is None else entry.version
+            self._unsure.discard(key)
+
+    async def write(
+        self,
+        batch: dict[str, Any],
+        guards: list[tuple[str, int]] | None = None,
+        ops: list[dict[str, Any]] | None = None,
+    ) -> None:
+        """One transaction of these keys, with more guards and changes beside. Conflict if only one of those fails."""
+        own = [(LEADER, self.leader_version), *((key, self.versions.get(key, 0)) for key in batch)]
+        changes = [
+            put(key, value) if value is not None else delete(key)
+            for key, value in batch.items()
+            if value is not None or self.versions.get(key, 0)
+        ]
+        try:
+            revision = await self.state.txn(own + (guards or []), changes + (ops or []))
+        except Conflict as e:
+            if LEADER in e.failed:
+                raise Deposed("the leader's key has changed") from e
+            if batch.keys() & set(e.failed):
+                self._unsure |= batch.keys()
+                raise Trouble(f"{self._what}: record out of date: {', '.join(e.failed)}") from e
+            raise
+        except (Trouble, Unreachable):
+            self._unsure |= batch.keys()
+            raise
+        for key, value in batch.items():
+            if value is None:
+                self.versions.pop(key, None)
+                self._written.pop(key, None)
+            else:
+                self.versions[key] = revision
+                self._written[key] = orjson.dumps(value)
--- a/roseweir/submissions/jobs.py
+++ b/roseweir/submissions/jobs.py
@@ -65,6 +65,9 @@
     save_s: float = 0.0
     deadline_s: float | None = None
     accepted_ms: int = 0
+    # A step of a chain: which one, and the jobs whose durable end it waits for.
+    chain: str = ""
+    after: list[str] = []
 
     @property
     def estimate(self) -> timedelta:
--- a/roseweir/tuning.py
+++ b/roseweir/tuning.py
@@ -12,10 +12,11 @@
 
 if TYPE_CHECKING:
     from roseweir.calendars import Calendar
+    from roseweir.chains.settings import ChainSettings
     from roseweir.drain.settings import DrainSettings
     from roseweir.forecast.settings import AheadSettings
 
-FORMS = ("startup-limits", "renting-ahead", "calendar", "disruption", "replacement", "packing")
+FORMS = ("startup-limits", "renting-ahead", "calendar", "disruption", "replacement", "packing", "chain")
 
 
 class Tuning(LimitSettings):
@@ -25,6 +26,8 @@
     ahead: "AheadSettings | None" = None
     # Where tasks with GPUs go, and whether replicas are moved for large ones.
     packing: PackingSettings = msgspec.field(default_factory=PackingSettings)
+    # Chains of jobs; None: amendments are taken with the defaults.
+    chain: "ChainSettings | None" = None
     # Budgets of disruption and own reasons to replace machines; None: operators' drains alone, with the defaults.
     drain: "DrainSettings | None" = None
 
@@ -63,6 +66,10 @@
             from roseweir.forecast.settings import parse_ahead
 
             tuning.ahead = parse_ahead(rest)
+        elif head == "chain":
+            from roseweir.chains.settings import parse_chain
+
+            tuning.chain = parse_chain(rest)
         elif head == "packing":
             tuning.packing = parse_packing(rest)
         elif head in ("disruption", "replacement"):
