What began after a long wait is spared for 90 s; replicas of several services may share a target

Change: a job that was old as it began is stopped for nobody within 90 s; room is kept from 60 s of wait on, before all from 120 s. Moves off GPU machines hold a target for all whose place it is to be, and wait for tasks of lower arrays there to end.

--- a/roseweir/packing/desk.py
+++ b/roseweir/packing/desk.py
@@ -159,7 +159,7 @@
                 continue
             self._take(plan, ground)
         if waiting and len(self.plans) < PLANS_MOST and not any(not plan.wants for plan in self.plans):
-            plan = back(self._ground(machines, now), until_ms, self.settings.at_once)
+            plan = back(self._ground(machines, now), until_ms, self.settings.at_once * 2)
             if plan is not None:
                 self._take(plan, ground)
 
@@ -171,9 +171,9 @@
             run = self.board.jobs.get(move.job)
             if run is not None and move.target:
                 ground.taken.setdefault(move.target, []).append(run.spec)
-                ground.held.setdefault(move.target, move.job)
+                ground.held.setdefault(move.target, set()).add(move.job)
         if plan.wants:
-            ground.held[plan.machine] = plan.wants
+            ground.held[plan.machine] = {plan.wants}
 
     def _sold_out(self, run: JobRun, kind: str, refused: dict[Offer, datetime], now: datetime) -> bool:
         found = self.board.catalog.get(kind)
@@ -196,7 +196,7 @@
             name = f"{job}/{index}"
             return name in self.moved or name in moving or job in services
 
-        held = dict(self.board.held)
+        held = {name: set(jobs) for name, jobs in self.board.held.items()}
         return Ground(self.board, machines, self.settings, now, stays, held, self.choice.breaks, taken)
 
     def _stop(self, decision: Decision, steps: Steps, machines: list[Machine], now: datetime, wall_ms: int) -> None:
@@ -229,15 +229,15 @@
                 self.moved[move.name] = wall_ms
 
     def _hold(self) -> None:
-        held: dict[str, str] = {}
+        held: dict[str, set[str]] = {}
         for plan in self.plans:
             if plan.wants:
-                held[plan.machine] = plan.wants
+                held[plan.machine] = {plan.wants}
             for move in plan.moves:
                 run = self.board.jobs.get(move.job)
                 missing = run is not None and not run.over and len(run.placed) < run.spec.tasks
                 if move.target and (missing or self._replica(plan, move) is not None):
-                    held.setdefault(move.target, move.job)
+                    held.setdefault(move.target, set()).add(move.job)
         if held != self.board.held:
             self.board.held = held
             self.board.changed = True
--- a/roseweir/packing/moves.py
+++ b/roseweir/packing/moves.py
@@ -86,10 +86,14 @@
     settings: PackingSettings
     now: datetime
     stays: Callable[[str, int], bool]  # moved a while ago, or about to be
-    held: dict[str, str]  # machines that are kept, and for which job
+    held: dict[str, set[str]]  # machines that are kept, and for which jobs
     breaks: Callable[[Machine, JobSpec], float]
     taken: dict[str, list[JobSpec]] = field(default_factory=dict)  # what earlier moves will take
 
+    def kept_from(self, machine: Machine, spec: JobSpec) -> bool:
+        held = self.held.get(machine.name)
+        return held is not None and spec.id not in held
+
     def room(self, machine: Machine, spec: JobSpec) -> int:
         cpus, gpus, memory = machine.free_cpus, machine.free_gpus, machine.free_memory
         for other in self.taken.get(machine.name, ()):
@@ -142,11 +146,7 @@
     for machine in ground.machines:
         if machine is placement.machine or machine.name in avoided or not suits(spec, machine):
             continue
-        if (
-            ground.held.get(machine.name, spec.id) != spec.id
-            or machine.promised
-            or machine.name in placement.run.error_machines
-        ):
+        if ground.kept_from(machine, spec) or machine.promised or machine.name in placement.run.error_machines:
             continue
         if ground.room(machine, spec) < 1 or not _zone_allows(placement.run, placement, machine.zone):
             continue
@@ -169,7 +169,7 @@
     fitting = [m for m in ground.machines if m.type.gpus > 0 and suits(spec, m) and spec.fits(m.type)]
     fitting.sort(key=lambda m: (spec.gpus - m.free_gpus, m.name))
     for machine in fitting[:MACHINES_MOST]:
-        if machine.promised not in ("", spec.id) or ground.held.get(machine.name, spec.id) != spec.id:
+        if machine.promised not in ("", spec.id) or ground.kept_from(machine, spec):
             continue
         if machine.name in run.error_machines or not _zone_of_job(run, machine):
             continue
@@ -341,18 +341,16 @@
     for machine in ground.machines:
         if machine.type.gpus > 0 or not suits(spec, machine) or not spec.fits(machine.type) or machine.promised:
             continue
-        if (
-            machine.name in ground.held
-            or ground.taken.get(machine.name)
-            or machine.name in placement.run.error_machines
-        ):
-            continue
-        if not _zone_allows(placement.run, placement, machine.zone):
+        if machine.name in ground.held and machine.name not in ground.taken:
+            continue  # for something else
+        if machine.name in placement.run.error_machines or not _zone_allows(placement.run, placement, machine.zone):
             continue
         lower = [p for p in machine.placements.values() if _is_lower_array(p.run.spec, spec)]
         ends = [(p.expected_end(now, board.estimate(p.run.spec)), n, p.run.spec) for n, p in enumerate(lower)]
         ends.sort(key=lambda each: each[:2])
-        cpus, memory = machine.free_cpus, machine.free_memory
+        coming = ground.taken.get(machine.name, ())
+        cpus = machine.free_cpus - sum(each.cpus for each in coming)
+        memory = machine.free_memory - sum(each.memory_gb for each in coming)
         for end, _, leaving in ends:
             cpus, memory = cpus + leaving.cpus, memory + leaving.memory_gb
             if cpus >= spec.cpus - 1e-6 and memory >= spec.memory_gb - 1e-6:
--- a/roseweir/packing/settings.py
+++ b/roseweir/packing/settings.py
@@ -15,7 +15,7 @@
     move: bool = False  # replicas are moved where large tasks fit nowhere
     after: timedelta = timedelta(seconds=10)  # how long a job waits before others are moved for it
     again: timedelta = timedelta(minutes=5)  # a replica that was moved stays for so long
-    at_once: int = 4  # replicas that may be on their way
+    at_once: int = 8  # replicas that may be on their way
 
 
 def parse_packing(entries: list[Any]) -> PackingSettings:
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -117,8 +117,8 @@
         self.barren: dict[tuple[object, ...], tuple[int, datetime]] = {}
         # Machines that are being drained, and by which drain: nothing new starts on them.
         self.drained: dict[str, str] = {}
-        # Machines that are kept for one job while tasks are moved for it: its id, by machine.
-        self.held: dict[str, str] = {}
+        # Machines that are kept for some jobs while tasks are moved: their ids, by machine.
+        self.held: dict[str, set[str]] = {}
         # Who knows about sizes of GPU tasks, if anybody does.
         self.chooser: Chooser | None = None
         # Who keeps account of tasks' ups and downs, if anybody does.
--- a/roseweir/placement/elders.py
+++ b/roseweir/placement/elders.py
@@ -12,9 +12,11 @@
 
 The smallest exception that works: it changes the order alone. Whoever is first has room kept as everybody who is first
 (`plan._make_room`: the machines that will soonest have it, in one zone if it must be; its part of the team's limit), no
-task is stopped that could not be stopped before, no limit is passed by. Startup limits go on as they are, but while
-one holds such a job back, others leave that zone's tokens to it: at most a draw cap's worth, once. Only so many are
-old at once that their room is PART of the pool, and one at least, so the others' order holds for the rest.
+task is stopped that could not be stopped before, no limit is passed by. What has begun so is not stopped for others'
+guarantees within SPARED: two gangs of eight that had waited 160 s were, 37 s after their start, and began for good
+after 327 s and 342 s. Startup limits go on as they are, but while one holds such a job back, others leave that zone's
+tokens to it: at most a draw cap's worth, once. Only so many are old at once that their room is PART of the pool, and
+one at least, so the others' order holds for the rest.
 """
 
 from collections.abc import Iterable
@@ -23,7 +25,9 @@
 from roseweir.clock import NEVER
 from roseweir.placement.model import JobRun
 
-AFTER, LAST = timedelta(seconds=75), timedelta(seconds=150)
+AFTER, LAST = timedelta(seconds=60), timedelta(seconds=120)
+# What began so late is stopped for nobody for so long: a start that is stopped at once is none.
+SPARED = timedelta(seconds=90)
 PART = 0.25
 # What a job is by its wait: as the others, with those within a guarantee, before all.
 YOUNG, OLD, OLDEST = 0, 1, 2
--- a/roseweir/placement/model.py
+++ b/roseweir/placement/model.py
@@ -79,6 +79,7 @@
     held: str = ""  # why nothing of it may start now, whatever room there is
     covered: bool = False
     begun: bool = False  # a task of it has run, as far as this leader knows
+    spared_until: datetime = NEVER  # it is stopped for no other job before
     age: int = 0  # how long it has waited counts for this much (`placement/elders.py`)
     first_wait: datetime = NEVER
     looked: datetime = NEVER  # when it was last seen to that others make room
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -11,7 +11,7 @@
 from roseweir.clock import FOREVER, NEVER
 from roseweir.limits import Limit, Start
 from roseweir.placement.board import Board, Usage
-from roseweir.placement.elders import OLDEST, YOUNG, mark
+from roseweir.placement.elders import OLDEST, SPARED, YOUNG, mark
 from roseweir.placement.look import Look, Room, suits
 from roseweir.placement.model import JobRun, Machine, Phase, Placement
 from roseweir.submissions.jobs import ARRAY, GANG, JobSpec
@@ -180,6 +180,8 @@
         result.placed += placed
         if placed:
             run.first_wait = NEVER
+            if run.age > YOUNG:
+                run.spared_until = now + SPARED
             if claims:
                 # What it claimed, it uses now. Replacements claim nothing: giving back for them let an
                 # array go over the team's limit.
@@ -324,7 +326,8 @@
     It did: a gang's two victims left one after the other, the first one's place was filled again, and
     the new task became the next victim.
     """
-    if board.held.get(machine.name, spec.id) != spec.id:
+    held = board.held.get(machine.name)
+    if held is not None and spec.id not in held:
         return True
     return _promised_to(board, machine, now) not in ("", spec.id)
 
@@ -642,6 +645,7 @@
         if p.halt_at is None
         and not (cpu_only and p.run.spec.gpus > 0)
         and (p.phase == Phase.SEEN or (p.phase == Phase.SENT and p.run.spec.kind != GANG))
+        and p.run.spared_until <= now
         and may_preempt(board, run, p.run)
     ]
     # Where the image is at hand the job starts sooner by the time of a fetch, which is often the longest wait.
