Promises: amended lots in the viewer before the next business morning, followed, hurried and reported

The promised instant is part of the chain's record, durable before the amendment is answered; how it stands is derived from chains; what is at risk goes first among its own team's jobs of the same rank, and machines are asked for in its slack; nobody else's place in the queue moves, and what cannot be kept any more pushes nobody.

--- a/roseweir/chains/model.py
+++ b/roseweir/chains/model.py
@@ -80,6 +80,7 @@
     why: str = ""
     due_ms: int = 0  # until when it is promised in the viewer; 0: nobody promised
     ended_ms: int = 0
+    held_by: str = ""  # the class of the step for which it came late
     # Jobs of older chains of the same lots: what delivers waits for their end, however they end.
     behind: list[str] = []
 
--- a/roseweir/chains/store.py
+++ b/roseweir/chains/store.py
@@ -102,5 +102,5 @@
 
 def shrunk(chain: Chain) -> Chain:
     """What is kept of a chain that has ended: enough to know it again, and to tell how it went."""
-    steps = [msgspec.structs.replace(step, after=[], lots=[]) for step in chain.steps if step.delivers][:1]
+    steps = [msgspec.structs.replace(step, after=[]) for step in chain.steps if step.delivers]
     return msgspec.structs.replace(chain, steps=steps, behind=[])
--- a/roseweir/cli.py
+++ b/roseweir/cli.py
@@ -15,6 +15,7 @@
 from roseweir.drain import cli as drain
 from roseweir.forecast import cli as forecast
 from roseweir.forms import SettingsError
+from roseweir.promises import cli as promises
 from roseweir.settings import Settings, load_settings
 from roseweir.tuning import Tuning, load_tuning
 
@@ -70,6 +71,7 @@
     question(commands.add_parser("served", help="show who is served, by team and class; ask the leader"), "served")
     drain.add_commands(commands)
     chains.add_commands(commands)
+    promises.add_commands(commands)
     forecast.add_commands(commands, lambda ask: question(ask, "forecast"))
     return parser
 
--- a/roseweir/cloud/plan.py
+++ b/roseweir/cloud/plan.py
@@ -65,6 +65,10 @@
     """How long the job's work may take by its class's aims."""
     spec = run.spec
     objectives = board.settings.params.objectives
+    slack = board.slack_ms.get(spec.id)
+    if slack is not None:
+        # Promised, and at risk: what is left is its slack, and the time that it takes.
+        return max(ZERO, timedelta(milliseconds=slack)) * CAREFUL
     left = PATIENT
     for objective in objectives:
         if _concerns(objective, run):
--- a/roseweir/placement/board.py
+++ b/roseweir/placement/board.py
@@ -117,6 +117,9 @@
         self.barren: dict[tuple[object, ...], tuple[int, datetime]] = {}
         # Machines that are being drained, and by which drain: nothing new starts on them.
         self.drained: dict[str, str] = {}
+        # Slack of jobs that somebody is promised and that may come late, in milliseconds: they come first among their
+        # team's jobs of the same rank, and machines are asked for in that time.
+        self.slack_ms: dict[str, int] = {}
         # Machines that are kept for some jobs while tasks are moved: their ids, by machine.
         self.held: dict[str, set[str]] = {}
         # Who knows about sizes of GPU tasks, if anybody does.
--- a/roseweir/placement/plan.py
+++ b/roseweir/placement/plan.py
@@ -108,7 +108,25 @@
     mark(waiting, pools, board.epoch, now)
     # A mistaken job fails wherever it is put: it may try again where nobody else waits for the room.
     waiting.sort(key=_order)
-    return waiting
+    return _hurried(board, waiting) if board.slack_ms else waiting
+
+
+def _hurried(board: Board, waiting: list[JobRun]) -> list[JobRun]:
+    """Among one team's jobs of the same standing, those that would come late for a promise go first, least slack first.
+
+    They change places among themselves and with their team's others alone: nobody else's place in the queue moves.
+    """
+    places: dict[tuple[object, ...], list[int]] = {}
+    for place, run in enumerate(waiting):
+        places.setdefault((*_order(run)[:4], run.spec.team), []).append(place)
+    found = list(waiting)
+    for group in places.values():
+        runs = [waiting[place] for place in group]
+        if any(run.spec.id in board.slack_ms for run in runs):
+            runs.sort(key=lambda run: (run.spec.id not in board.slack_ms, board.slack_ms.get(run.spec.id, 0)))
+            for place, run in zip(group, runs, strict=True):
+                found[place] = run
+    return found
 
 
 def _order(run: JobRun) -> tuple[object, ...]:
--- /dev/null
+++ b/roseweir/promises/cli.py
@@ -0,0 +1,88 @@
+"""`roseweir promises`."""
+
+import argparse
+from datetime import UTC, date, datetime
+from pathlib import Path
+from typing import Any
+
+from roseweir.asking import post, print_json
+from roseweir.forms import SettingsError
+
+PATH = "/promises"
+
+
+def add_commands(commands: Any) -> None:
+    parser = commands.add_parser(
+        "promises", help="which amended lots will be in the viewer in time, those at risk first"
+    )
+    parser.add_argument("--at", required=True, metavar="HOST:PORT", help="any controller's own address (`back`)")
+    parser.add_argument("--json", action="store_true", help="print the answer as it came")
+    parser.add_argument("--night", type=_night, default="", metavar="DATE", help="one night, by its morning's date")
+    parser.add_argument("--draw", type=Path, metavar="FILE.png", help="a picture of it (needs matplotlib)")
+    parser.set_defaults(run=_promises)
+
+
+def _night(text: str) -> str:
+    try:
+        return date.fromisoformat(text).isoformat()
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"{text} is no date like 2026-12-03") from None
+
+
+def _promises(args: argparse.Namespace) -> int:
+    answer = post(args.at, PATH, {"night": args.night} if args.night else {})
+    if args.draw is not None:
+        draw(answer, args.draw)
+    if args.json:
+        print_json(answer)
+        return 0
+    for row in answer["promises"]:
+        due = f"due in {row['due_in_s']} s" if row["due_in_s"] >= 0 else f"due {-row['due_in_s']} s ago"
+        lots = f"{row['lots_in_viewer']}/{row['lots']} lots there"
+        why = f"; {row['waits_for']}" if row["waits_for"] else ""
+        print(f"{row['chain']:24} {row['state']:24} {row['stage']:16} {due}, slack {row['slack_s']} s, {lots}{why}")
+    for night in answer["nights"]:
+        if args.night in ("", night["night"]):
+            by = ", ".join(f"{n} by {step}" for step, n in night["late_by_step"].items())
+            worst = f", the worst by {night['worst_late_s']} s" if night["late"] else ""
+            print(
+                f"night to {night['night']}: {night['promised']} lots promised, {night['kept']} kept, "
+                f"{night['late']} late{worst}{f' ({by})' if by else ''}, {night['superseded']} superseded"
+            )
+    return 0
+
+
+def _number(dates: Any, ms: int) -> float:
+    return float(dates.date2num(datetime.fromtimestamp(ms / 1000, UTC)))
+
+
+def draw(answer: dict[str, Any], path: Path) -> None:
+    """Each chain of the answer as a line from now to its end, beside what was promised."""
+    try:
+        import matplotlib
+    except ImportError:
+        raise SettingsError("--draw needs matplotlib: pip install -r requirements-forecast.txt") from None
+    matplotlib.use("Agg")
+    from matplotlib import dates, pyplot
+
+    colours = {"kept": "tab:green", "on course": "tab:blue", "at risk": "tab:orange", "superseded": "tab:gray"}
+    rows = answer["promises"][:80]
+    figure, axes = pyplot.subplots(figsize=(9, 1.5 + 0.22 * max(1, len(rows))))
+    for n, row in enumerate(rows):
+        colour = colours.get(row["state"], "tab:red")
+        end = row["ended_ms"] if row["ended_ms"] is not None else row["due_ms"] - row["slack_s"] * 1000
+        at, due = (_number(dates, ms) for ms in (end, row["due_ms"]))
+        axes.plot([at, due], [n, n], color=colour, linewidth=1)
+        axes.plot([at], [n], "o", color=colour)
+        axes.plot([due], [n], "|", color="black")
+    axes.set_yticks(range(len(rows)), [f"{row['chain']} ({row['state']})" for row in rows], fontsize=6)
+    axes.invert_yaxis()
+    axes.xaxis_date()
+    axes.set_title("End, forecast or durable (dot), and what was promised (bar), UTC")
+    figure.autofmt_xdate()
+    figure.tight_layout()
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as e:
+        raise SettingsError(f"--draw: {path}: {e}") from e
+    pyplot.close(figure)
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     from roseweir.forecast.desk import AheadDesk
     from roseweir.packing.desk import PackingDesk
+    from roseweir.promises.desk import PromiseDesk
 
 log = logging.getLogger(__name__)
 
@@ -85,6 +86,13 @@
         )
         self.chains.revision = lambda: self.served.revision
         self.recorder.on_end = self._job_ended
+        self.promises: PromiseDesk | None = None
+        if tuning.promise is not None:
+            from roseweir.promises import desk as promise_desk
+
+            self.promises = promise_desk.PromiseDesk(
+                tuning.promise, self.chains, self.board, state, term.version, term.may_run, term.end
+            )
         self.drain = DrainDesk(tuning.drain, self.board, state, term.version, term.may_run, term.end)
         planners = [self.drain.plan] if self.ahead is None else [self.ahead.plan, self.drain.plan]
         self.cloud = CloudDesk(cloud, self.board, term.may_run, connect, planners)
@@ -116,6 +124,8 @@
             group.create_task(self.drain.run())
             group.create_task(self.served.run())
             group.create_task(self.chains.run())
+            if self.promises is not None:
+                group.create_task(self.promises.run())
             if self.ahead is not None:
                 group.create_task(self.ahead.run())
 
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -32,6 +32,7 @@
 from roseweir.leadership.leadership import Leadership, Term
 from roseweir.membership.desk import PEER_PATIENCE, Membership, Overdue
 from roseweir.placement.explain import explain
+from roseweir.promises import messages as promises
 from roseweir.reign import Reign
 from roseweir.served import messages as served
 from roseweir.served.desk import gather
@@ -226,6 +227,8 @@
             return await self._by_the_leader(request, "/drains", lambda reign: reign.drain, drains.serve)
         if path == "/chains":
             return await self._by_the_leader(request, "/chains", lambda reign: reign.chains, chains.serve)
+        if path == "/promises":
+            return await self._by_the_leader(request, "/promises", lambda reign: reign.promises, promises.serve)
         if path == "/forecast":
             return json_response(200, self.forecast())
         if path.startswith("/job/"):
@@ -344,6 +347,8 @@
             answer |= reign.drain.summary()
             answer |= reign.served.summary()
             answer |= reign.chains.summary()
+            if reign.promises is not None:
+                answer |= reign.promises.summary()
             if reign.packing is not None:
                 answer |= reign.packing.summary()
         return answer
--- a/roseweir/tuning.py
+++ b/roseweir/tuning.py
@@ -15,8 +15,9 @@
     from roseweir.chains.settings import ChainSettings
     from roseweir.drain.settings import DrainSettings
     from roseweir.forecast.settings import AheadSettings
+    from roseweir.promises.settings import PromiseSettings
 
-FORMS = ("startup-limits", "renting-ahead", "calendar", "disruption", "replacement", "packing", "chain")
+FORMS = ("startup-limits", "renting-ahead", "calendar", "disruption", "replacement", "packing", "chain", "promise")
 
 
 class Tuning(LimitSettings):
@@ -28,6 +29,8 @@
     packing: PackingSettings = msgspec.field(default_factory=PackingSettings)
     # Chains of jobs; None: amendments are taken with the defaults.
     chain: "ChainSettings | None" = None
+    # Promises of mornings; None: nobody is promised anything.
+    promise: "PromiseSettings | None" = None
     # Budgets of disruption and own reasons to replace machines; None: operators' drains alone, with the defaults.
     drain: "DrainSettings | None" = None
 
@@ -70,6 +73,11 @@
             from roseweir.chains.settings import parse_chain
 
             tuning.chain = parse_chain(rest)
+        elif head == "promise":
+            from roseweir.promises.settings import PromiseSettings, parse_promise
+
+            tuning.promise = tuning.promise or PromiseSettings()
+            parse_promise(tuning.promise, rest)
         elif head == "packing":
             tuning.packing = parse_packing(rest)
         elif head in ("disruption", "replacement"):
@@ -84,9 +92,9 @@
             names = ", ".join(f"`{name}`" for name in FORMS)
             raise SettingsError(f"unknown name `{head}`, expected one of {names}")
     if calendar is not None:
-        if tuning.ahead is None and tuning.drain is None:
-            raise SettingsError("`calendar` says nothing without `renting-ahead` or `disruption`")
-        for switched_on in (tuning.ahead, tuning.drain):
+        if tuning.ahead is None and tuning.drain is None and tuning.promise is None:
+            raise SettingsError("`calendar` says nothing without `renting-ahead`, `disruption` or `promise`")
+        for switched_on in (tuning.ahead, tuning.drain, tuning.promise):
             if switched_on is not None:
                 switched_on.calendar = calendar
     return tuning
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from datetime import timedelta
-from typing import Any
+from typing import Any, TypeVar
 
 import orjson
 import pytest
@@ -22,8 +22,10 @@
 from tests.test_rules import check
 from tests.world import LATER, LEFT_OUT, World, now
 
+W = TypeVar("W", bound=ChainWorld)
 
-def watched(world: ChainWorld) -> ChainWorld:
+
+def watched(world: W) -> W:
     world.spawn_later(world.watch_viewer)
     world.spawn_later(world.ask_about_steps)
     return world
