--- a/roseweir/cli.py
+++ b/roseweir/cli.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from roseweir import __version__
+from roseweir.asking import address
 from roseweir.chains import cli as chains
 from roseweir.drain import cli as drain
 from roseweir.forecast import cli as forecast
@@ -119,9 +120,7 @@
 def _ask(args: argparse.Namespace) -> int:
     from roseweir.http import Client, Unreachable
 
-    host, _, port = args.at.rpartition(":")
-    if not host or not port.isdigit():
-        raise SettingsError(f"--at: `{args.at}` is not HOST:PORT")
+    address(args.at)
 
     async def ask() -> Any:
         path = f"/job/{args.job}" if args.job else f"/{args.what}"
--- a/roseweir/placement/look.py
+++ b/roseweir/placement/look.py
@@ -26,6 +26,7 @@
         (spec.types is None or machine.type.name in spec.types)
         and (spec.zone is None or machine.zone == spec.zone)
         and (spec.spot or not machine.spot)
+        and (spec.image_gb <= machine.type.cache_gb or spec.is_held_by(machine.type))
     )
 
 
--- a/roseweir/submissions/jobs.py
+++ b/roseweir/submissions/jobs.py
@@ -86,12 +86,17 @@
     def allows(self, kind: MachineType) -> bool:
         return self.types is None or kind.name in self.types
 
+    def is_held_by(self, kind: MachineType) -> bool:
+        """Whether the type's cache can hold the image, which may be weights of tens of GB. 0: the catalog is silent."""
+        return kind.cache_gb <= 0 or self.image_gb <= kind.cache_gb
+
     def fits(self, kind: MachineType) -> bool:
         return (
             self.allows(kind)
             and self.cpus <= kind.cpus
             and self.gpus <= kind.gpus
             and self.memory_gb <= kind.memory_gb
+            and self.is_held_by(kind)
             and (self.zone is None or self.zone in kind.zones)
         )
 
@@ -162,6 +167,9 @@
     if team is None:
         return "unknown team"
     if not any(spec.fits(kind) for kind in catalog):
+        allowed = [kind for kind in catalog if spec.allows(kind)]
+        if allowed and not any(spec.is_held_by(kind) for kind in allowed):
+            return f"no allowed machine type has a cache for an image of {spec.image_gb:g} GB"
         return "no allowed machine type fits a task"
     counted = spec.tasks if spec.whole else 1
     for what, limit in (("cpus", team.cpus_max), ("gpus", team.gpus_max)):
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -1,5 +1,6 @@
 """The largest jobs of a class: they begin though smaller ones keep coming, and the account tells whether they do."""
 
+import asyncio
 import random
 from typing import Any
 
@@ -18,6 +19,8 @@
 from roseweir.submissions.jobs import GANG, JobSpec
 from tests.samples import spec as job
 from tests.test_placement import NOW, Hand, new_board, record
+from tests.test_rules import check
+from tests.world import World, now
 
 
 def stream(kind: str, minutes: float) -> float:
@@ -167,3 +170,67 @@
     assert len(orjson.dumps(encode(many, 900))) <= 900 and largest(again) == largest(many), "the largest are kept apart"
     assert sum(size.accepted for size in again.values()) == sum(size.accepted for size in many.values())
     assert largest(rows)["x"] == rows["x", 9] and largest(rows)["x"].served == 0.0, "one at least"
+
+
+class Starved(World):
+    """A team's small jobs of higher rank keep coming; its largest needs the whole of the team's limit."""
+
+    def __init__(self, seed: int, **more: Any) -> None:
+        super().__init__(seed, scale=2, back_after=(0.1, 1.0), **more)
+        self.large = "j-7000001"
+        self.begun: list[float] = []
+
+    def make_job(self) -> dict[str, Any]:
+        small = {"shape": "sweep", "parcels": 1, "accelerators": 1.0, "cores": 2.0, "crew": "t0", "rank": "urgent"}
+        small |= {"builds": None, "yard": None, "together": False, "mistaken": False, "guess_s": 12.0, "docket": "x"}
+        return super().make_job() | small
+
+    def check_start(self, worker: Any, task: Any) -> None:
+        super().check_start(worker, task)
+        if task.job == self.large and not self.begun:
+            self.begun.append(now())
+
+    async def story(self, _: World) -> None:
+        await asyncio.sleep(8)
+        shape = {"shape": "gang", "parcels": 3, "accelerators": 2.0, "cores": 4.0, "name_id": self.large}
+        shape |= {"rank": "normal", "loaners": True}
+        self.jobs[self.large] = self.make_job() | shape
+        body = {k: v for k, v in self.jobs[self.large].items() if k != "mistaken"}
+        while self.large not in self.accepted:
+            status, answer = await self.ask("POST", "/submissions", body)
+            self.check_answer(self.large, status, answer)
+            if status in (200, 201):
+                self.accepted.add(self.large)
+        while True:
+            self.spawn(self.user())
+            await asyncio.sleep(0.8)
+
+    async def failing(self, _: World) -> None:
+        """A third of the machines, and leaders one after the other."""
+        await asyncio.sleep(14)
+        for worker in list(self.workers.values())[::3]:
+            worker.die()
+            worker.host.failed = True
+        for _turn in range(4):
+            await self.restart(self.leader())
+            await asyncio.sleep(5)
+
+
+@pytest.mark.parametrize("fails", [False, True])
+def test_the_largest_begins_beside_its_teams_small_ones_though_leaders_and_machines_fall(
+    fails: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(elders, "AFTER", seconds(10))
+    monkeypatch.setattr(elders, "LAST", seconds(18))
+    world = Starved(7900, calm=True)
+    world.spawn_later(world.story)
+    if fails:
+        world.spawn_later(world.failing)
+    check(world.play(length=75, jobs=3))
+    assert world.begun and world.begun[0] < 8 + 45
+    # Without it the small ones pass it for ever.
+    monkeypatch.setattr(plan_module, "mark", lambda *more: None)
+    plain = Starved(7900, calm=True)
+    plain.spawn_later(plain.story)
+    check(plain.play(length=75, jobs=3))
+    assert not plain.begun
--- a/tests/test_left_out.py
+++ b/tests/test_left_out.py
@@ -8,6 +8,7 @@
 from roseweir.clock import seconds
 from roseweir.cloud.plan import standing, surplus
 from roseweir.cloud.silence import ASK_PATIENCE, MISSES, note, to_ask
+from roseweir.http import Reply
 from roseweir.placement import hearing, learning
 from roseweir.placement.hearing import GIVES_UP, answered
 from roseweir.placement.learning import Learning
@@ -253,6 +254,73 @@
     assert unfinished == []
 
 
+# -- in the middle of an election ---------------------------------------------------------------
+
+STEPS = {
+    "lease asked for": ("/holds", False, "POST"),
+    "lease granted, not yet known": ("/holds", True, "POST"),
+    "key asked for": ("/txn", False, "lead/leader"),
+    "key written, answer lost": ("/txn", True, "lead/leader"),
+    "renewal": ("/extend", True, "POST"),
+}
+
+
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("back", [0.05, 0.6])
+def test_whoever_stands_ends_at_each_step_of_its_election_and_somebody_leads_soon(step: str, back: float) -> None:
+    """No term is used twice: the world looks at that all the time."""
+    world = World(7340, calm=True, back_after=(back, back))
+    path_of, after, what = STEPS[step]
+    ended: list[str] = []
+    gaps: list[float] = []
+
+    async def watch(world: World) -> None:
+        await asyncio.sleep(15)
+        plain = world.state.handle
+
+        async def handle(node: str, method: str, path: str, body: object) -> Reply:
+            mine = path_of in path and (what in (method, "") or what in str(body))
+            if not mine or len(ended) >= 6:
+                return await plain(node, method, path, body)
+            ended.append(node)
+            answer = await plain(node, method, path, body) if after else None
+            world.spawn(world.restart(world.nodes[int(node[1:])]))
+            await asyncio.sleep(0)
+            return answer or await plain(node, method, path, body)
+
+        world.state.handle = handle  # type: ignore[method-assign]
+        await world.restart(world.leader())
+        while len(ended) < 6 and now() < 50:
+            await asyncio.sleep(0.05)
+        last = now()
+        while not any(n.service and n.service.reign and n.service.reign.open for n in world.nodes):
+            await asyncio.sleep(0.02)
+        gaps.append(now() - last)
+
+    world.spawn_later(watch)
+    check(world.play(length=75, jobs=10))
+    assert ended and gaps and gaps[0] < 4.0, (ended, gaps)
+
+
+def test_two_candidates_that_end_in_turn_leave_a_leader_seconds_after_the_last_end() -> None:
+    world = World(7350, calm=True, back_after=(0.1, 0.3), controllers=2)
+    gaps: list[float] = []
+
+    async def turns(world: World) -> None:
+        await asyncio.sleep(15)
+        for number in range(24):
+            world.spawn(world.restart(world.nodes[number % 2]))
+            await asyncio.sleep(0.25)
+        last = now()
+        while not any(n.service and n.service.reign and n.service.reign.open for n in world.nodes):
+            await asyncio.sleep(0.02)
+        gaps.append(now() - last)
+
+    world.spawn_later(turns)
+    check(world.play(length=60, jobs=10))
+    assert gaps[0] < 4.0
+
+
 # -- broken variants ----------------------------------------------------------------------------
 
 Break = Callable[[pytest.MonkeyPatch], None]
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -21,7 +21,7 @@
 from roseweir.placement.look import Size
 from roseweir.placement.model import JobRun, Machine, Phase
 from roseweir.placement.plan import plan
-from roseweir.submissions.jobs import ARRAY, GANG, SERVICE, MachineType
+from roseweir.submissions.jobs import ARRAY, GANG, SERVICE, MachineType, refusal
 from roseweir.tuning import Tuning
 from roseweir.workers import messages as wire
 from tests.disturbance import DrainWorld
@@ -222,6 +222,17 @@
     assert move_gang(ground(board), large, 0, lambda p: False) is None, "it has to fit elsewhere as a whole"
 
 
+def test_weights_that_no_cache_holds_are_refused_with_the_reason_and_others_go_where_they_fit() -> None:
+    board, hands = place_of(1, ordinary=1)
+    heavy = job(1, image="w", image_gb=80.0, cpus=2.0)
+    assert refusal(heavy, board.teams, [CPU]) == "no allowed machine type has a cache for an image of 80 GB"
+    assert refusal(heavy, board.teams, [CPU, BIG]) is None
+    run = board.add_job(heavy, 1)
+    board.spill_until = NOW + seconds(60)
+    plan(board, NOW)
+    assert [p.machine.name for p in run.placed.values()] == ["i-00"] and hands[1].machine.type is CPU
+
+
 def test_moving_is_weighed_against_renting() -> None:
     young = seconds(10)
     assert not cheaper_to_rent(200.0, BIG, True, young) and cheaper_to_rent(2000.0, BIG, True, young)
