--- a/roseweir/placement/elders.py
+++ b/roseweir/placement/elders.py
@@ -27,7 +27,7 @@
 from roseweir.placement.model import JobRun
 from roseweir.submissions.jobs import JobSpec
 
-AFTER, LAST = timedelta(seconds=75), timedelta(seconds=140)
+AFTER, LAST = timedelta(seconds=60), timedelta(seconds=120)
 # The uppermost part of a class's jobs, by what their tasks take altogether; sizes that are told apart.
 LARGEST, SIZES = 0.1, 64
 # What began so late is stopped for nobody for so long: a start that is stopped at once is none.
