Read once more: one wall_ms, unused state of chains gone, grounds of moves replaced

What: six places worked out the time of day in milliseconds, now clock.wall_ms does; chains kept a constant, a dictionary, a field, an outcome and three arguments that nothing read; a plan's ground was built anew from eight fields twice, and targets were told to avoid the machine that they avoid by themselves. Behaviour is as it was: no bound, check or expectation is changed.

--- a/benchmarks/chains.py
+++ b/benchmarks/chains.py
@@ -69,7 +69,7 @@
     board = Board(given, Tuning(), 1, clock_now())
     board.catalog = {"cpu": MachineType("cpu", 8, 0, 64, 50, 1.0, 1.0, 0.3, 10, ("a", "b"))}
     chosen = ChainSettings(intake=1e9)
-    desk = ChainDesk(chosen, board, cast(StateClient, state), 1, lambda: True, print, board.teams)
+    desk = ChainDesk(chosen, board, cast(StateClient, state), 1, lambda: True, print)
     desk.revision = lambda: state.revision
     await desk._learn_ends()
     registry = Registry(1, lots=10 * chains)
--- a/roseweir/chains/decide.py
+++ b/roseweir/chains/decide.py
@@ -1,7 +1,8 @@
 """What happens next in chains. Pure: what is known of jobs goes in, what is to be done comes out.
 
-A step is *free* once all that it follows is over for good: done, or skipped by the settings. Nothing is kept of that
-which the jobs' own records do not tell: a chain whose marks are old is brought up to date by the ends since.
+A step is *free* once all that it follows is over for good: done, or cancelled where the settings skip that. Nothing is
+kept of that which the jobs' own records do not tell: a chain whose marks are old is brought up to date by the ends
+since.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -10,8 +11,6 @@
 from roseweir.chains.model import Chain, Step
 from roseweir.chains.settings import ChainSettings
 
-GOOD = ("done", "skipped")
-
 
 @dataclass(slots=True)
 class Todo:
@@ -20,10 +19,9 @@
     free: list[int] = field(default_factory=list)  # steps that may start now
     cancel: list[int] = field(default_factory=list)  # steps that have to end, and are not over
     ended: str = ""  # the chain's state, if it is over
-    stands: str = ""  # why it cannot go on by itself
 
 
-def mark(chain: Chain, job: str, state: str, settings: ChainSettings, now_ms: int) -> bool:
+def mark(chain: Chain, job: str, state: str, now_ms: int) -> bool:
     """A step's job is over, durably. Whether that is news."""
     for step in chain.steps:
         if step.job == job and not step.outcome:
@@ -58,7 +56,7 @@
 
 
 def _passed(step: Step, settings: ChainSettings) -> bool:
-    return step.outcome in GOOD or (step.outcome == "cancelled" and settings.on_cancel == "skip")
+    return step.outcome == "done" or (step.outcome == "cancelled" and settings.on_cancel == "skip")
 
 
 def _all_after(chain: Chain, numbers: Iterable[int]) -> set[int]:
--- a/roseweir/chains/desk.py
+++ b/roseweir/chains/desk.py
@@ -13,12 +13,11 @@
 
 import msgspec
 
-from roseweir import clock
 from roseweir.chains import decide
-from roseweir.chains.model import Amendment, Chain, NotNow, Refused, Step, chain_of, links, read, specs_of
+from roseweir.chains.model import Chain, NotNow, Refused, Step, chain_of, links, read, specs_of
 from roseweir.chains.settings import ChainSettings
 from roseweir.chains.store import AGED, Store, shrunk
-from roseweir.clock import ZERO, pause, seconds, steady, within
+from roseweir.clock import ZERO, pause, seconds, steady, wall_ms, within
 from roseweir.http import Unreachable
 from roseweir.limits import Bucket
 from roseweir.placement.board import Board
@@ -32,9 +31,8 @@
 log = logging.getLogger(__name__)
 
 TICK, SAVE, REPORT = timedelta(seconds=1), timedelta(seconds=2), timedelta(seconds=60)
-# Changes of one transaction, less the chain's own page and what an end takes.
+# Deliveries of older chains that one waits for, at the most.
 OVERLAP_MOST = 50
-FOLLOWS = "the steps that it follows"
 # So long after its acceptance a step whose chain was never recorded is ended.
 ORPHANS_MS = 180_000
 # Chains that are looked at in a step though nothing is known to have happened in them.
@@ -51,7 +49,6 @@
         leader_version: int,
         may_act: Callable[[], bool],
         depose: Callable[[str], None],
-        known_teams: dict[str, Any],
     ) -> None:
         self.settings = settings
         self.board = board
@@ -67,7 +64,6 @@
         self.revision: Callable[[], int] = lambda: 0  # up to which the ends of jobs have been told
         self.work = asyncio.Event()
         self.read_ends = False  # the ends since the pages were written are known
-        self._teams = known_teams
         self._may_act = may_act
         self._depose = depose
         now = steady()
@@ -75,7 +71,6 @@
         self._dirty: set[int] = set()  # pages that differ from what is written, and have to be written
         self._aged: set[str] = set()  # chains with marks that can wait
         self._turn = asyncio.Lock()
-        self._said: dict[str, str] = {}
         self._look_at: set[str] = set()  # chains in which something has happened
         self._rest: list[str] = []  # of all open ones, those that were not looked at yet in this round
         self._waiters: dict[str, set[str]] = {}  # jobs that some delivery waits for, and of which chains
@@ -184,7 +179,7 @@
         """A job's end is durable."""
         self._over.add(job)
         chain = self.by_job.pop(job, None)
-        if chain is not None and decide.mark(chain, job, state, self.settings, wall_ms()):
+        if chain is not None and decide.mark(chain, job, state, wall_ms()):
             self._aged.add(chain.id)
             self.changed(chain)
             self._tell(chain, f"step {job} {state}")
@@ -406,7 +401,7 @@
             ]
             chain.due_ms = self.promise(chain)
             self._set_behind(chain)
-            await self._write(amendment, chain, held)
+            await self._write(chain, held)
             self._intake.debit(1.0, steady())
             self.chains[chain.id] = chain
             if chain.ended:
@@ -427,7 +422,7 @@
         classes = {o.job_class for o in self.board.settings.params.objectives if o.job_class}
         classes |= {name for group in self.settings.order for name in group}
         for spec in specs:
-            why = refusal(spec, self._teams, list(self.board.catalog.values()))
+            why = refusal(spec, self.board.teams, list(self.board.catalog.values()))
             if why is not None:
                 raise Refused(f"step {spec.id}: {why}", 422)
             if classes and spec.job_class not in classes:
@@ -476,7 +471,7 @@
         run = self.board.jobs.get(step.job)
         return run is not None and _has_begun(run)
 
-    async def _write(self, amendment: Amendment, chain: Chain, specs: list[JobSpec]) -> None:
+    async def _write(self, chain: Chain, specs: list[JobSpec]) -> None:
         """The chain's page and all its jobs' records, or nothing."""
         most = self.state.settings.txn_ops
         number = self.store.place(chain)
@@ -650,7 +645,3 @@
 
 def _has_begun(run: JobRun) -> bool:
     return run.begun or run.done_count > 0 or any(p.phase > 0 for p in run.placed.values())
-
-
-def wall_ms() -> int:
-    return round(clock.wall().timestamp() * 1000)
--- a/roseweir/chains/model.py
+++ b/roseweir/chains/model.py
@@ -59,7 +59,7 @@
     job_class: str
     after: list[int]  # steps of the chain that it follows
     lots: list[int]  # of the chain's; none: all
-    outcome: str = ""  # done, cancelled, superseded, skipped
+    outcome: str = ""  # done, cancelled, superseded
     released_ms: int = 0
     ended_ms: int = 0
     delivers: bool = False  # its end puts its lots into the viewer
--- a/roseweir/clock.py
+++ b/roseweir/clock.py
@@ -21,6 +21,11 @@
     return datetime.now(UTC)
 
 
+def wall_ms() -> int:
+    """The time of day in milliseconds, as records keep it."""
+    return round(wall().timestamp() * 1000)
+
+
 async def pause(span: timedelta) -> None:
     await asyncio.sleep(max(0.0, span.total_seconds()))
 
--- a/roseweir/cloud/desk.py
+++ b/roseweir/cloud/desk.py
@@ -7,8 +7,7 @@
 
 import msgspec
 
-from roseweir import clock
-from roseweir.clock import NEVER, pause, seconds, steady
+from roseweir.clock import NEVER, pause, seconds, steady, wall_ms
 from roseweir.cloud.client import RELEASE_MOST, CloudClient, NoCapacity
 from roseweir.cloud.messages import BOOTING, FAILED, Listed
 from roseweir.cloud.plan import REFUSED, Offer, Want, surplus, wanted
@@ -131,8 +130,7 @@
             if not self._may_act() or now < self._hear_until:
                 await pause(DECIDE)
                 continue
-            wall_ms = round(clock.wall().timestamp() * 1000)
-            wants, exhausted = wanted(self.board, self.last_pass, self.refused, wall_ms, now)
+            wants, exhausted = wanted(self.board, self.last_pass, self.refused, wall_ms(), now)
             if exhausted:
                 self.board.spill_until = now + SPILL
             kept: dict[str, str] = {}
--- a/roseweir/drain/desk.py
+++ b/roseweir/drain/desk.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from roseweir import clock
-from roseweir.clock import pause, seconds, steady
+from roseweir.clock import pause, seconds, steady, wall_ms
 from roseweir.cloud.desk import CloudDesk
 from roseweir.cloud.plan import Offer, Want
 from roseweir.drain import describe
@@ -360,10 +360,6 @@
         )
 
 
-def wall_ms() -> int:
-    return round(clock.wall().timestamp() * 1000)
-
-
 def names_of(machines: list[Machine]) -> str:
     more = f" and {len(machines) - 20} more" if len(machines) > 20 else ""
     return ", ".join(m.name for m in machines[:20]) + more
--- a/roseweir/packing/desk.py
+++ b/roseweir/packing/desk.py
@@ -202,7 +202,7 @@
             return name in self.moved or name in moving or job in services
 
         held = {name: set(jobs) for name, jobs in self.board.held.items()}
-        return Ground(self.board, machines, self.settings, now, stays, held, self.choice.breaks, taken)
+        return Ground(self.board, machines, now, stays, held, self.choice.breaks, taken)
 
     def _stop(self, decision: Decision, steps: Steps, machines: list[Machine], now: datetime, wall_ms: int) -> None:
         """Those whose place is free now, as far as the budget goes."""
--- a/roseweir/packing/moves.py
+++ b/roseweir/packing/moves.py
@@ -15,14 +15,13 @@
 Nothing goes round in circles: who was moved stays for `again`, and a place is not made by taking one of its own kind.
 """
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
 from typing import Any
 
 from roseweir.clock import NEVER
 from roseweir.packing.pieces import fits_in_total
-from roseweir.packing.settings import PackingSettings
 from roseweir.placement.board import Board
 from roseweir.placement.elders import YOUNG
 from roseweir.placement.look import suits
@@ -83,7 +82,6 @@
 
     board: Board
     machines: list[Machine]  # that tasks may be started on
-    settings: PackingSettings
     now: datetime
     stays: Callable[[str, int], bool]  # moved a while ago, or about to be
     held: dict[str, set[str]]  # machines that are kept, and for which jobs
@@ -138,13 +136,12 @@
     return not spec.spread or others.count(zone) < (spec.tasks + 1) // 2
 
 
-def target_for(ground: Ground, placement: Placement, avoid: Iterable[str]) -> tuple[float, Machine] | None:
+def target_for(ground: Ground, placement: Placement) -> tuple[float, Machine] | None:
     """Where a replica would go, and seconds of service lost: no large place broken, weights at hand, tightest fit."""
     spec, board = placement.run.spec, ground.board
-    avoided = set(avoid)
     best: tuple[tuple[float, float, float, str], float, Machine] | None = None
     for machine in ground.machines:
-        if machine is placement.machine or machine.name in avoided or not suits(spec, machine):
+        if machine is placement.machine or not suits(spec, machine):
             continue
         if ground.kept_from(machine, spec) or machine.promised or machine.name in placement.run.error_machines:
             continue
@@ -192,7 +189,7 @@
 def _on(ground: Ground, run: JobRun, machine: Machine, until_ms: int) -> Plan | None:
     spec = run.spec
     cpus, gpus, memory = machine.free_cpus, machine.free_gpus, machine.free_memory
-    options: list[tuple[float, str, Placement, Machine]] = []
+    options: list[tuple[float, str, Placement]] = []
     services: set[str] = set()
     # One that takes as much would want a place of the same kind.
     movable = [
@@ -207,13 +204,13 @@
     if how_many(spec, *could) < 1:
         return None
     for placement in movable:
-        found = target_for(ground, placement, [machine.name])
+        found = target_for(ground, placement)
         if found is not None:
-            options.append((found[0] * weight(placement.run.spec), placement.name, placement, found[1]))
+            options.append((found[0] * weight(placement.run.spec), placement.name, placement))
     options.sort(key=lambda each: each[:2])
     chosen: list[tuple[float, Placement, Machine]] = []
     taken: dict[str, list[JobSpec]] = {}
-    for _, _, placement, _ in options:
+    for _, _, placement in options:
         lacks = (spec.cpus - cpus > 1e-6, spec.gpus - gpus > 1e-6, spec.memory_gb - memory > 1e-6)
         if not any(lacks):
             break
@@ -227,11 +224,9 @@
         if moved.id in services or len(chosen) >= MOVES_MOST:
             continue  # one replica of a service at a time
         # Again, beside those chosen before.
-        inner = Ground(
-            ground.board, ground.machines, ground.settings, ground.now, ground.stays, ground.held, ground.breaks,
-            {name: [*ground.taken.get(name, ()), *taken.get(name, ())] for name in ground.taken.keys() | taken.keys()},
-        )  # fmt: skip
-        found = target_for(inner, placement, [machine.name])
+        both = {n: [*ground.taken.get(n, ()), *taken.get(n, ())] for n in ground.taken.keys() | taken.keys()}
+        inner = replace(ground, taken=both)
+        found = target_for(inner, placement)
         if found is None:
             continue
         services.add(moved.id)
@@ -306,16 +301,14 @@
         moves: list[Move] = []
         services: set[str] = set()
         taken = {name: list(specs) for name, specs in ground.taken.items()}
-        inner = Ground(
-            board, ground.machines, ground.settings, ground.now, ground.stays, ground.held, ground.breaks, taken
-        )
+        inner = replace(ground, taken=taken)
         for placement in machine.placements.values():
             spec = placement.run.spec
             if len(moves) >= most or lacking <= 1e-6:
                 break
             if spec.gpus > 0 or spec.id in services or not _movable(ground, placement, None):
                 continue
-            found = target_for(inner, placement, [machine.name])
+            found = target_for(inner, placement)
             target = room_soon(inner, placement) if found is None else found[1]
             if target is None:
                 continue
--- a/roseweir/promises/desk.py
+++ b/roseweir/promises/desk.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from roseweir.chains.desk import ChainDesk, wall_ms
+from roseweir.chains.desk import ChainDesk
 from roseweir.chains.model import Chain, Step
-from roseweir.clock import pause, seconds, steady
+from roseweir.clock import pause, seconds, steady, wall_ms
 from roseweir.http import Unreachable
 from roseweir.placement.board import Board
 from roseweir.placement.explain import explain
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -84,7 +84,7 @@
             self.ahead = desk.AheadDesk(tuning.ahead, self.board, state, term.version, term.end)
         self.served = ServedDesk(self.board, state, term.version, term.end, turned_away)
         self.chains = ChainDesk(
-            tuning.chain or ChainSettings(), self.board, state, term.version, term.may_run, term.end, self.board.teams
+            tuning.chain or ChainSettings(), self.board, state, term.version, term.may_run, term.end
         )
         self.chains.revision = lambda: self.served.revision
         self.recorder.on_end = self._job_ended
--- a/roseweir/served/desk.py
+++ b/roseweir/served/desk.py
@@ -9,8 +9,7 @@
 
 import msgspec
 
-from roseweir import clock
-from roseweir.clock import ZERO, pause, steady
+from roseweir.clock import ZERO, pause, steady, wall_ms
 from roseweir.cloud.silence import patience
 from roseweir.http import Unreachable
 from roseweir.leadership.messages import LEADER
@@ -179,7 +178,7 @@
 
     def _look(self) -> None:
         settled = steady() - self._began > patience(self.board)
-        self.account.look(self.board.jobs, round(clock.wall().timestamp() * 1000), settled)
+        self.account.look(self.board.jobs, wall_ms(), settled)
 
     def describe(self) -> dict[str, Any]:
         self._look()
--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -170,7 +170,7 @@
             return 400, str(e), None
         if self.catalog is None:
             return 503, "machine types not known yet", None
-        spec = submission.to_spec(round(clock.wall().timestamp() * 1000))
+        spec = submission.to_spec(clock.wall_ms())
         why = refusal(spec, self.teams, self.catalog)
         if why is not None:
             return 422, why, None
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -132,8 +132,8 @@
             break
         n = draw.choice(sorted(running))
         running.discard(n)
-        assert decide.mark(chain, f"j-{n}", "done", settings, 2)
-        assert not decide.mark(chain, f"j-{n}", "done", settings, 3), "an end counts once"
+        assert decide.mark(chain, f"j-{n}", "done", 2)
+        assert not decide.mark(chain, f"j-{n}", "done", 3), "an end counts once"
     assert sorted(released) == list(range(count)) and chain.state == "done"
 
 
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -59,7 +59,7 @@
 def ground(board: Board, stays: Callable[[str, int], bool] = lambda job, index: False) -> Ground:
     choice = Choice()
     choice.look(board.jobs.values(), list(board.machines.values()), NOW)
-    return Ground(board, list(board.machines.values()), PackingSettings(), NOW, stays, {}, choice.breaks)
+    return Ground(board, list(board.machines.values()), NOW, stays, {}, choice.breaks)
 
 
 # -- measured -----------------------------------------------------------------------------------
