--- a/roseweir/chains/decide.py
+++ b/roseweir/chains/decide.py
@@ -75,7 +75,8 @@
 ) -> list[int]:
     """Steps of the older chain that have to end, since newer ones are about all lots that they are for.
 
-    `newest`: by lot, the newest revision that has been taken.
+    `newest`: by lot, the newest revision that has been taken. A step that another one needs stays: with one lot of a
+    join overtaken, the join waited for a step that never came, and the newer amendment waited for the join.
     """
     found = []
     for n, step in enumerate(older.steps):
@@ -83,6 +84,10 @@
             continue
         if not has_begun(step) or settings.superseded == "stop":
             found.append(n)
+    while needed := [
+        n for n in found if any(not older.steps[f].outcome and f not in found for f in older.followers(n))
+    ]:
+        found = [n for n in found if n not in needed]
     return found
 
 
--- a/roseweir/chains/desk.py
+++ b/roseweir/chains/desk.py
@@ -91,6 +91,26 @@
             elif chain.state == "done":
                 for lot in chain.lots:
                     self.newest[lot] = max(self.newest.get(lot, -1), chain.revision)
+        self._wait_for_older()
+
+    def _wait_for_older(self) -> None:
+        """What delivers before what, of chains that go on: derived, and not only read.
+
+        An older amendment that comes after a newer one is put before it. That stands on the newer one's page, which is
+        written a moment later: a leader that ended in between left the two free to deliver in any order, and a lot's
+        older state came into the viewer after its newer one (tests/test_meetings.py).
+        """
+        for chain in self._open():
+            for name in sorted({name for lot in chain.lots for name in self.by_lot.get(lot, ())}):
+                other = self.chains[name]
+                if other.revision < chain.revision:
+                    self._put_behind(chain, decide.delivers_before(other, chain))
+
+    def _put_behind(self, chain: Chain, jobs: list[str]) -> None:
+        for job in jobs:
+            if job not in chain.behind:
+                chain.behind.append(job)
+                self._waiters.setdefault(job, set()).add(chain.id)
 
     def _index(self, chain: Chain) -> None:
         self._look_at.add(chain.id)
@@ -457,15 +477,14 @@
             raise Refused(f"newer revisions of {names_of} are in the viewer or on their way: send the rest alone", 409)
         for other in newer:
             # It came first and is newer: what it delivers waits for this one.
-            for job in decide.delivers_before(chain, other):
-                if job not in other.behind:
-                    other.behind.append(job)
-                    self._waiters.setdefault(job, set()).add(other.id)
+            self._put_behind(other, decide.delivers_before(chain, other))
             self._touch(other)
 
     def _delivers(self, chain: Chain) -> bool:
-        """Whether some of its delivery may have begun."""
-        return any(step.delivers and (step.released_ms or step.outcome) for step in chain.steps)
+        """Whether some of its delivery may have begun, also under an earlier leader, whose release is not on record."""
+        return any(
+            step.delivers and (step.released_ms or step.outcome or self._step_begun(step)) for step in chain.steps
+        )
 
     def _step_begun(self, step: Step) -> bool:
         run = self.board.jobs.get(step.job)
--- a/roseweir/workers/desk.py
+++ b/roseweir/workers/desk.py
@@ -101,9 +101,11 @@
         if not self.may_answer(now):
             return json_response(503, {"error": "no news from the state service"})
         if (machine.session, machine.seq) != (report.session, report.seq):
-            # Overtaken while it was held. It renews the lease, so it carries the halts: no answer may do one without the other.
+            # Overtaken while it was held. It renews the lease all the same, and no answer does that without the halts.
             return json_response(200, wire.answer(self.board.term, self.board.halts(machine)))
-        response = json_response(200, wire.answer(self.board.term, self.board.orders(machine, now, self.may_start(now))))
+        response = json_response(
+            200, wire.answer(self.board.term, self.board.orders(machine, now, self.may_start(now)))
+        )
         answered(machine, report.seq, now)
         response.side = Side.WORKER if machine.placements else Side.IDLE_WORKER
         return response
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from roseweir.chains.desk import ChainDesk
 from roseweir.clock import seconds, steady
 from roseweir.http import Reply, Response, Unreachable
 from roseweir.leadership.leadership import Term
@@ -27,6 +28,7 @@
 from roseweir.workers import messages as wire
 from roseweir.workers.desk import WorkerDesk
 from tests import virtual
+from tests.chained import ChainWorld
 from tests.meetings import Day, Met
 from tests.samples import spec as job
 from tests.test_placement import NOW, Hand, new_board, record
@@ -741,3 +743,49 @@
                 wrong.append(f"{job_id} is {store}, and told as {how}")
         assert len(told) > 5
     assert raced > 5 and bool(wrong) == broken, wrong
+
+
+# -- chains: an older amendment is taken after a newer one, and the leader ends ---------------------
+
+
+@pytest.mark.parametrize("broken", [False, True])
+def test_who_delivers_first_is_known_to_whoever_leads_next(broken: bool, monkeypatch: Patch) -> None:
+    if broken:
+        monkeypatch.setattr(ChainDesk, "_wait_for_older", lambda self: None)
+    wrong: list[str] = []
+    for seed in range(7770, 7774):
+        # Small values: the two are on pages of their own.
+        world = ChainWorld(seed, calm=True, back_after=(0.1, 0.5), value_kb=2.0)
+        world.registry.run_s = (2.0, 6.0)
+        states: list[str] = []
+
+        async def act(_: World, world: ChainWorld = world) -> None:
+            await asyncio.sleep(8)
+            for turn in range(4):
+                lots = [f"lot-{turn}"]
+                # A lot of its own, or it would be superseded as it comes; of the other one its step is overtaken.
+                older = world.registry.amendment([*lots, f"own-{turn}"], fan_out=turn % 2 == 0)
+                newer = world.registry.amendment(lots)
+                between = world.registry.amendment([f"other-{turn}"], fan_out=True)
+                for step in older["steps"]:
+                    step["job"]["guess_s"] = 9.0
+                await world.amend(newer)
+                await world.amend(between)
+                await world.amend(older)
+                await world.restart(world.leader())
+                await asyncio.sleep(12)
+
+        async def look(_: World, world: ChainWorld = world, states: list[str] = states) -> None:
+            await asyncio.sleep(118)
+            states.extend(world.chain_states().values())
+
+        world.spawn_later(act)
+        world.spawn_later(look)
+        world.spawn_later(world.watch_viewer)
+        world.play(length=120, jobs=2)
+        assert len(world.taken) == 12, world.statuses
+        if not broken:
+            assert set(states) == {"done"}, "a chain stands still and nobody is told"
+        wrong += [str(error) for error in [*world.broken, *world.errors]]
+    assert bool(wrong) == broken, wrong
+    assert all("older_after_newer" in each for each in wrong)
