--- a/roseweir/leadership/leadership.py
+++ b/roseweir/leadership/leadership.py
@@ -138,6 +138,10 @@
             except (Trouble, Unreachable, Expired) as e:
                 log.debug("leadership: %s", e)
                 await pause(RETRY)
+            except (msgspec.ValidationError, TypeError, ValueError) as e:
+                # Nobody can lead before it can be read, but users are served: it ended every controller in turn.
+                log.error("the record of who leads can't be read: %s", e)
+                await pause(RESERVE / 60)
 
     async def _look(self) -> int:
         entries, revision = await self.state.scan(PREFIX)
--- a/roseweir/workers/messages.py
+++ b/roseweir/workers/messages.py
@@ -1,16 +1,22 @@
 """The workers' wire names."""
 
 from datetime import timedelta
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
+
+# A report is checked whole before anything is taken from it: a task's name that could not be read once left the board
+# with what stood before it in the list.
+TaskName = Annotated[str, Meta(pattern=r"^j-[0-9]{1,18}/[0-9]{1,6}$")]
+Count = Annotated[int, Meta(ge=0)]
 
 
 class TaskReport(
     msgspec.Struct, rename={"task": "parcel", "attempt": "try", "state": "standing", "why": "cause", "saved": "stored"}
 ):
-    task: str
-    attempt: int
+    task: TaskName
+    attempt: Count
     state: str
     why: str | None = None
     saved: bool | None = None
@@ -36,11 +42,11 @@
     type: str
     zone: str
     spot: bool
-    session: int
-    seq: int
-    term: int
+    session: Count
+    seq: Count
+    term: Count
     tasks: list[TaskReport]
-    notice_s: float | None = None
+    notice_s: Annotated[float, Meta(ge=0, le=1e9)] | None = None
 
 
 class Caller(msgspec.Struct, rename={"machine": "host", "session": "tenure", "seq": "tally", "term": "warrant"}):
