In an outage of all, a leader goes by what all other controllers have told users

Change: a leader whose watch fails asks all others, by the present listener, which cancels they have told of since its last news. If all answer, each from before that time on, it stops those jobs and goes on as with news. One that began anew, is cut off, stands still or knows a later term gives no word, and the hold-over counts as before. The question goes back to when nobody else led, so the successor's count of old leases holds.

--- a/roseweir/leadership/leadership.py
+++ b/roseweir/leadership/leadership.py
@@ -68,11 +68,16 @@
         self.ended = asyncio.Event()
         self.reason = ""
         self.sure_until = NEVER
-        self.renewed_at = NEVER  # sending of the last renewal that was answered
+        # As of when nobody else led: the sending of the last renewal that was answered, or of a question that all other
+        # controllers answered. Rights to start rest on the lease alone.
+        self.held_at = NEVER
         self.renewed(sent)
 
+    def held(self, sent: datetime) -> None:
+        self.held_at = max(self.held_at, sent)
+
     def renewed(self, sent: datetime) -> None:
-        self.renewed_at = max(self.renewed_at, sent)
+        self.held(sent)
         self.sure_until = max(self.sure_until, sent + TTL * 0.999 - MARGIN)
 
     def may_run(self) -> bool:
--- a/roseweir/membership/desk.py
+++ b/roseweir/membership/desk.py
@@ -12,6 +12,7 @@
 from roseweir.http import Connect, Transport, Unreachable
 from roseweir.leadership.messages import TERM
 from roseweir.membership.judge import LOOK, Callers, Finding, Solitude, Tally, Vigil, latest, some_of
+from roseweir.membership.messages import AskTold, Told
 from roseweir.settings import Settings
 from roseweir.state import StateClient, Trouble
 from roseweir.workers import messages as wire
@@ -58,6 +59,24 @@
 
         return latest(await asyncio.gather(*(ask(peer) for peer in self._peers.values())))
 
+    async def ask_told(self, span: timedelta) -> Told | None:
+        """What all other controllers together have told users of cancels in this time; None if one does not say."""
+        body = msgspec.to_builtins(AskTold(span.total_seconds()))
+
+        async def ask(peer: Transport) -> Told | None:
+            try:
+                reply = await peer("POST", "/told", body, patience=PEER_PATIENCE)
+                return msgspec.json.decode(reply.body, type=Told) if reply.status == 200 else None
+            except (Unreachable, msgspec.DecodeError):
+                return None
+
+        told = await asyncio.gather(*(ask(peer) for peer in self._peers.values()))
+        known = [each for each in told if each is not None and each.cancelled is not None]
+        if len(known) < len(told):
+            return None
+        cancelled = [job_id for each in known for job_id in each.cancelled or ()]
+        return Told(max((each.term for each in known), default=0), cancelled)
+
     # -- the state service --------------------------------------------------------------------
 
     @property
--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -17,8 +17,9 @@
 from roseweir.http import Connect, Unreachable
 from roseweir.leadership.leadership import Term
 from roseweir.limits.rules import renew_class_limits, renew_fetch_limits
+from roseweir.membership.messages import Told
 from roseweir.packing.choice import Choice
-from roseweir.placement.board import Board
+from roseweir.placement.board import DRIFT, Board
 from roseweir.placement.plan import Pass, plan
 from roseweir.placement.recorder import Deposed, Recorder
 from roseweir.served.desk import Gather, ServedDesk
@@ -48,6 +49,9 @@
 REPORT = timedelta(seconds=15)
 NEWS = timedelta(seconds=1)
 RETRY = timedelta(milliseconds=250)
+# Without the state service for so long, a leader asks the other controllers what they have told users, so often. Their
+# answers count if they come within ASK_PATIENCE, and the question goes back for that much longer.
+UNHEARD, ASK_GAP, ASK_PATIENCE = timedelta(seconds=3), timedelta(seconds=1), timedelta(seconds=1)
 
 
 class Reign:
@@ -62,7 +66,10 @@
         connect: Connect,
         may_hold: Callable[[], bool],
         turned_away: Gather,
+        ask_told: Callable[[timedelta], Awaitable[Told | None]],
     ) -> None:
+        self._ask_told = ask_told
+        self._asked_at = NEVER
         self.term = term
         self.state = state
         self.board = Board(settings, tuning, term.number, steady())
@@ -186,10 +193,34 @@
                     self.ahead.news(revision, sent, whole=changes is not None)
             except (Trouble, Unreachable) as e:
                 log.info("watching jobs: %s", e)
+                await self._hear_of_cancels()
                 await pause(RETRY)
                 continue
             self.workers.news_at = max(self.workers.news_at, sent)
 
+    async def _hear_of_cancels(self) -> None:
+        """Without the state service the other controllers know as much as it does: all that users were told.
+
+        A cancel counts from when its user hears of it, and users hear by a controller. So if all others name the jobs
+        of which they have told since the last news, these are all, and none of them led as it answered. The leader
+        stops those jobs, and goes on as if its watch had been answered. Bound and proof: docs/design.md.
+        """
+        sent = steady()
+        if sent - self.workers.known_at < UNHEARD or sent - self._asked_at < ASK_GAP:
+            return
+        self._asked_at = sent
+        # Back to when nobody else led, too: one that led since and ended does not know of it any more.
+        told = await self._ask_told((sent - self.workers.known_at) * DRIFT + ASK_PATIENCE * 2)
+        if told is None or steady() - sent > ASK_PATIENCE or told.term > self.term.number:
+            return
+        for job_id in told.cancelled or ():
+            run = self.board.jobs.get(job_id)
+            if run is not None and not run.over:
+                log.info("job %s is cancelled, by the word of a controller", job_id)
+                self.recorder.job_over(job_id, ended(run.spec, "cancelled"))
+        self.workers.news_at = max(self.workers.news_at, sent)
+        self.term.held(sent)
+
     async def _read_again(self) -> int:
         entries, revision = await self.state.scan(LIVE)
         present = {entry.key.removeprefix(LIVE) for entry in entries}
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -4,7 +4,7 @@
 import gc
 import logging
 from collections.abc import Awaitable, Callable
-from datetime import datetime
+from datetime import datetime, timedelta
 from errno import EADDRINUSE
 from secrets import token_hex
 from typing import Any
@@ -31,6 +31,7 @@
 )
 from roseweir.leadership.leadership import Leadership, Term
 from roseweir.membership.desk import PEER_PATIENCE, Membership, Overdue
+from roseweir.membership.messages import AskTold, Told
 from roseweir.placement.explain import explain
 from roseweir.promises import messages as promises
 from roseweir.reign import Reign
@@ -93,7 +94,7 @@
             await self.duties()
 
     async def duties(self) -> None:
-        self._began = steady()
+        self._began = self.desk.began = steady()
         async with asyncio.TaskGroup() as group:
             group.create_task(self.desk.commits.run())
             group.create_task(self.desk.view.run())
@@ -171,6 +172,7 @@
             self._connect,
             self.room.may_hold,
             self._gather_turned_away,
+            self._ask_told,
         )
         self.reign = reign
         try:
@@ -223,6 +225,8 @@
             return self._served()
         if path == "/turned-away":
             return json_response(200, self._turned_away())
+        if path == "/told":
+            return self._tell(request)
         if path == "/drains":
             return await self._by_the_leader(request, "/drains", lambda reign: reign.drain, drains.serve)
         if path == "/chains":
@@ -241,6 +245,22 @@
             return json_response(200, {job_id: self._count(job_id) for job_id in jobs})
         return json_response(404, {"error": "no such path"})
 
+    def _tell(self, request: Request) -> Response:
+        """A leader without the state service asks what users were told here meanwhile."""
+        try:
+            asked = msgspec.json.decode(request.body, type=AskTold)
+            cancelled = self.desk.cancelled_since(seconds(asked.since_s))
+        except (msgspec.DecodeError, OverflowError) as e:
+            return json_response(400, {"error": str(e)})
+        leader = self.leadership.leader
+        known = max(leader.term if leader else 0, self.leadership.term.number if self.leadership.term else 0)
+        return json_response(200, msgspec.to_builtins(Told(known, cancelled)))
+
+    async def _ask_told(self, span: timedelta) -> Told | None:
+        told = await self.membership.ask_told(span)
+        own = self.desk.cancelled_since(span)
+        return None if told is None or own is None else Told(told.term, (told.cancelled or []) + own)
+
     async def _by_the_leader(
         self,
         request: Request,
--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -6,15 +6,16 @@
 
 import logging
 import re
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Sequence
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any
 
 import msgspec
 import orjson
 
 from roseweir import clock
+from roseweir.clock import FOREVER, NEVER, steady
 from roseweir.http import Request, Response, Unreachable, json_response
 from roseweir.settings import Settings
 from roseweir.state import Conflict, StateClient, Trouble
@@ -50,6 +51,8 @@
 # Teams and classes told apart; what is more is kept together.
 ROWS, REST = 256, "*"
 TRIES = 3
+# Cancelled jobs whose users were told last: so many are remembered for a leader that asks.
+TOLD_MOST = 2000
 
 _ID = re.compile(JOB_ID)
 
@@ -67,6 +70,10 @@
         self.commits = Commits(state, most_waiting=8 * settings.params.state.txn_ops)
         self.view = View(state, len(settings.peers) + 1, progress)
         self._ended: OrderedDict[str, str] = OrderedDict()
+        # When users were first told here that a job is cancelled. Before `began` others may have told.
+        self.began = FOREVER
+        self._told: deque[tuple[datetime, str]] = deque()
+        self._told_from = NEVER
         # Requests answered with a time to come back, by team and class, since this process started.
         self.turned_away: dict[tuple[str, str], int] = {}
         # A flood of polls must leave the state service to renewals and records.
@@ -221,7 +228,19 @@
             self._refused.popitem(last=False)
         raise Busy
 
+    def cancelled_since(self, span: timedelta) -> list[str] | None:
+        """Jobs whose users were first told here that they are cancelled, in the time up to now; None: not known."""
+        since = steady() - span
+        if max(self.began, self._told_from) > since:
+            return None
+        return [job_id for at, job_id in self._told if at >= since]
+
     def _remember(self, job_id: str, state: str) -> None:
+        """Before its user is told."""
+        if state == "cancelled" and job_id not in self._ended:
+            self._told.append((steady(), job_id))
+            if len(self._told) > TOLD_MOST:
+                self._told_from, _ = self._told.popleft()
         self._ended[job_id] = state
         if len(self._ended) > REMEMBERED:
             self._ended.popitem(last=False)
--- a/roseweir/workers/desk.py
+++ b/roseweir/workers/desk.py
@@ -61,8 +61,12 @@
         It counts from the renewal of our lease as well. A leader whose renewals failed while its watch went on kept
         leases alive for longer than its successor counts on (`Board.unproven_until`), and tasks ran twice.
         """
-        known = min(self.news_at, self.term.renewed_at)
-        return now - known < self.board.holdover and not self.term.ended.is_set()
+        return now - self.known_at < self.board.holdover and not self.term.ended.is_set()
+
+    @property
+    def known_at(self) -> datetime:
+        """Up to when every cancel is known, and nobody else led."""
+        return min(self.news_at, self.term.held_at)
 
     def may_start(self, now: datetime) -> bool:
         """Not only the lease is sure: a lease that an outage left to us is renewed before the first news comes, and
