--- a/roseweir/membership/desk.py
+++ b/roseweir/membership/desk.py
@@ -87,6 +87,11 @@
         """The state service told of it."""
         self._known = max(self._known, term)
 
+    @property
+    def known_term(self) -> int:
+        """The latest of all that this process has learnt of, its own among them."""
+        return self._known
+
     async def watch_state(self) -> None:
         while True:
             await pause(CHECK)
--- a/roseweir/service.py
+++ b/roseweir/service.py
@@ -252,9 +252,7 @@
             cancelled = self.desk.cancelled_since(seconds(asked.since_s))
         except (msgspec.DecodeError, OverflowError) as e:
             return json_response(400, {"error": str(e)})
-        leader = self.leadership.leader
-        known = max(leader.term if leader else 0, self.leadership.term.number if self.leadership.term else 0)
-        return json_response(200, msgspec.to_builtins(Told(known, cancelled)))
+        return json_response(200, msgspec.to_builtins(Told(self.membership.known_term, cancelled)))
 
     async def _ask_told(self, span: timedelta) -> Told | None:
         told = await self.membership.ask_told(span)
