--- a/tests/meetings.py
+++ b/tests/meetings.py
@@ -6,10 +6,16 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
 from random import Random
+from typing import Any
 
+import orjson
+
+from roseweir.http import Request
+from roseweir.submissions.jobs import OVER
 from tests.world import LATER, LEFT_OUT, MEETING, World, now
 
 KINDS = sorted({*LATER, *LEFT_OUT, *MEETING, "deaf"})
@@ -77,6 +83,85 @@
         return faults[0] if faults else ""
 
 
+class Long(World):
+    """Long tasks of small jobs, which nobody but users stops; and when tasks of cancelled jobs were last seen."""
+
+    def __init__(self, seed: int, **more: Any) -> None:
+        super().__init__(seed, calm=True, **more)
+        self.last_seen: dict[str, float] = {}
+        self.accepted_at: dict[str, float] = {}
+        self.unheard = 0  # jobs that were cancelled while a leader that workers heard did not know of it
+        self.spawn_later(lambda _: self._look())
+        self.tasks_most, self.run_s = 6, 90.0
+
+    def make_job(self) -> dict[str, Any]:
+        plain = {"accelerators": 0.0, "shape": "sweep", "rank": "normal", "builds": None, "mistaken": False}
+        more = {"parcels": self.draw.randint(2, self.tasks_most), "cores": 1.0, "together": False, "yard": None}
+        return super().make_job() | plain | more | {"guess_s": self.run_s, "crew": "t0", "due_s": None}
+
+    async def _look(self) -> None:
+        while True:
+            for _, task in self.on_machines():
+                if task.job in self.cancelled:
+                    self.last_seen[task.job] = now()
+            await asyncio.sleep(0.02)
+
+    async def cancel(self, job_id: str, avoid: str) -> None:
+        """A user's cancel that comes to other nodes than this one, until it is answered."""
+        self.asked_cancel.add(job_id)
+        while job_id not in self.told_over:
+            self.draw.shuffle(self.nodes)
+            self.nodes.sort(key=lambda node: node.name == avoid)
+            status, answer = await self.ask_of(self.nodes[0].name, "POST", f"/submissions/{job_id}/cancel")
+            self.check_answer(job_id, status, answer)
+            await asyncio.sleep(0.05)
+        self.nodes.sort(key=lambda node: node.index)
+
+    async def ask_of(self, name: str, method: str, path: str) -> tuple[int, dict[str, Any]]:
+        node = next(n for n in self.nodes if n.name == name)
+        try:
+            async with asyncio.timeout(5.0):
+                response = await node.serve(lambda service: service.public(Request(method, path, b"")))
+        except TimeoutError:
+            return 0, {}
+        return (0, {}) if response is None else (response.status, orjson.loads(response.body))
+
+    async def user(self) -> None:
+        """Submits, and leaves the rest to the test."""
+        wanted = self.make_job()
+        job_id = wanted["name_id"]
+        self.jobs[job_id] = wanted
+        while job_id not in self.accepted:
+            status, answer = await self.ask(
+                "POST", "/submissions", {k: v for k, v in wanted.items() if k != "mistaken"}
+            )
+            self.check_answer(job_id, status, answer)
+            if status in (200, 201):
+                self.accepted.add(job_id)
+                self.accepted_at[job_id] = now()
+            await asyncio.sleep(1.0)
+
+    def left(self, before: float) -> set[str]:
+        """Jobs accepted by then that have no durable end."""
+        return {job for job, at in self.accepted_at.items() if at < before and OVER + job not in self.state.keys}
+
+
+def workers(lease: float, cancel: float) -> dict[str, Any]:
+    times = {"report_s": 1.0, "lease_s": lease, "gang_wait_s": 8.0, "gang_peer_s": 3.0, "cancel_s": cancel}
+    return {"workers": times}
+
+
+def caught(days: Callable[[int], World], seeds: range, rule: str, length: float = 80, jobs: int = 14) -> bool:
+    for seed in seeds:
+        world = days(seed).play(length=length, jobs=jobs)
+        late = isinstance(world, Long) and any(
+            last - world.cancelled[j] > world.cancel_s - 1.9 for j, last in world.last_seen.items()
+        )
+        if any(rule in str(error) for error in world.broken) or (rule == "late" and late):
+            return True
+    return False
+
+
 def shrunk(day: Day) -> Day:
     """The same day with the fewest events that still break a rule: one after the other is left out."""
     kept = list(day.events)
