--- a/roseweir/submissions/desk.py
+++ b/roseweir/submissions/desk.py
@@ -231,7 +231,7 @@
     def cancelled_since(self, span: timedelta) -> list[str] | None:
         """Jobs whose users were first told here that they are cancelled, in the time up to now; None: not known."""
         since = steady() - span
-        if max(self.began, self._told_from) > since:
+        if max(self.began, self._told_from) >= since:
             return None
         return [job_id for at, job_id in self._told if at >= since]
 
