A leader whose renewals are answered too late goes by the word of the others as well

Cause: since rights to answer count from renewals too, a state service that takes 1.3 s and more for each answer would have ended all leases after the hold-over, though the leader's lease was renewed there all along: renewals are waited for 1.25 s. The untouched sources went on, as their watch was answered. Ruled out: waiting longer for a renewal (a leader whose requests are lost would make way 1.25 s later). Change: the others are asked also when the watch is answered and renewals are not.

--- a/roseweir/reign.py
+++ b/roseweir/reign.py
@@ -197,6 +197,8 @@
                 await pause(RETRY)
                 continue
             self.workers.news_at = max(self.workers.news_at, sent)
+            # Reads may go through while renewals are answered too late to count.
+            await self._hear_of_cancels()
 
     async def _hear_of_cancels(self) -> None:
         """Without the state service the other controllers know as much as it does: all that users were told.
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -405,3 +405,35 @@
 def test_a_word_that_proves_nothing_is_caught(broken: Callable[[Patch], None], what: str, monkeypatch: Patch) -> None:
     broken(monkeypatch)
     assert caught(lambda seed: out_for_all(seed, what)[0], range(7850, 7860), "ran_cancelled", 85, 10)
+
+
+def slow_for_all(seed: int) -> tuple[Long, list[dict[str, int]]]:
+    """Every answer of the state service takes longer than a renewal is waited for; all that is asked is carried out."""
+    world = Long(seed)
+    sessions: list[dict[str, int]] = []
+
+    async def act(world: World) -> None:
+        await asyncio.sleep(24)
+        plain = world.state.handle
+
+        async def handle(name: str, method: str, path: str, body: object) -> Reply:
+            answer = await plain(name, method, path, body)
+            await asyncio.sleep(1.5)
+            return answer
+
+        sessions.append({name: worker.session for name, worker in world.workers.items()})
+        world.state.handle = handle  # type: ignore[method-assign, assignment]
+        await asyncio.sleep(40)
+        world.state.handle = plain  # type: ignore[method-assign]
+        sessions.append({name: worker.session for name, worker in world.workers.items()})
+
+    world.spawn_later(act)
+    return world, sessions
+
+
+def test_a_leader_whose_renewals_are_answered_too_late_goes_by_the_word_of_the_others() -> None:
+    for seed in range(7870, 7873):
+        world, sessions = slow_for_all(seed)
+        check(world.play(length=90, jobs=10))
+        before, after = sessions
+        assert before and all(after.get(name) == session for name, session in before.items()), "leases ran out"
