Variants of late runs and of news keep their state to themselves

Two variants kept state in module globals, by seed and by id(): one test began with what another had left, and the id of a world that is gone may be given to the next one's. Change: a dictionary of the run's own, and keys that go with their objects; the state service's settings come from where the other tests take them.

--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -5,6 +5,7 @@
 from datetime import datetime
 from random import Random
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import pytest
 
@@ -96,20 +97,22 @@
 def news_at_the_answer(patch: Patch) -> None:
     """News counts from when the answer came, and not from when the question went out."""
     plain = StateClient.watch
+    answered: WeakKeyDictionary[StateClient, datetime] = WeakKeyDictionary()
+    states: WeakKeyDictionary[WorkerDesk, StateClient] = WeakKeyDictionary()
 
     async def watch(self: StateClient, prefix: str, *args: Any, **more: Any) -> Any:
         found = await plain(self, prefix, *args, **more)
         if prefix == LIVE and found is not None:
-            ANSWERED_AT[id(self)] = steady()
+            answered[self] = steady()
         return found
 
     def may_answer(self: WorkerDesk, at: datetime) -> bool:
-        came = ANSWERED_AT.get(id(STATES.get(id(self))), self.news_at)
+        came = answered.get(states[self], self.news_at)
         return at - max(self.news_at, came) < self.board.holdover and not self.term.ended.is_set()
 
     def begun(self: Reign, *args: Any, **more: Any) -> None:
         init(self, *args, **more)
-        STATES[id(self.workers)] = self.state
+        states[self.workers] = self.state
 
     init = Reign.__init__
     patch.setattr(Reign, "__init__", begun)
@@ -117,10 +120,6 @@
     patch.setattr(WorkerDesk, "may_answer", may_answer)
 
 
-ANSWERED_AT: dict[int, datetime] = {}
-STATES: dict[int, StateClient] = {}
-
-
 @pytest.mark.parametrize("broken", [holdover_longer, news_at_the_answer], ids=lambda b: b.__name__)
 def test_a_gap_catches_a_leader_that_answers_too_long(broken: Callable[[Patch], None], monkeypatch: Patch) -> None:
     broken(monkeypatch)
--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -24,7 +24,7 @@
 from tests.samples import spec as job
 from tests.test_placement import NOW, Hand, new_board, record
 from tests.test_rules import check
-from tests.world import LEASE_S, State, World
+from tests.world import LEASE_S, State, World, settings
 
 Patch = pytest.MonkeyPatch
 
@@ -148,7 +148,7 @@
         self.draw = Random(seed)
         self.world = World(seed, calm=True)
         self.state = State(self.world)
-        self.settings = StateClient("", settings_of(self.world), lambda *_: None).settings  # type: ignore[arg-type]
+        self.settings = settings(0).params.state
         self.waiting: list[dict[str, Any]] = []
         self.late = 0
 
@@ -185,12 +185,6 @@
         return None if found is None else found[0]
 
 
-def settings_of(world: World) -> Any:
-    from tests.world import settings
-
-    return settings(0).params.state
-
-
 async def _differential(seed: int) -> tuple[int, int, list[str]]:
     """Keys written, read and deleted while answers are lost: late runs carried out, resurrections, what was wrong."""
     store = LateStore(seed)
@@ -199,6 +193,7 @@
     draw = Random(seed)
     wrong: list[str] = []
     final: dict[str, Any] = {}
+    newest: dict[str, Any] = {}  # what a key held last, if it is deleted now
     number = 0
     for _ in range(25):
         number += 1
@@ -215,9 +210,9 @@
         store.some_run_late(0.5)
         for key, value in final.items():
             held = store.value(key)
-            last = LAST.setdefault((seed, key), value)
+            last = newest.setdefault(key, value)
             if value is not None:
-                LAST[seed, key] = value
+                newest[key] = value
                 if held != value:
                     wrong.append(f"{key} is {held} and not {value}")
             elif held is not None and held != last:
@@ -232,9 +227,6 @@
     return store.late, len(store.waiting), wrong
 
 
-LAST: dict[tuple[int, str], Any] = {}
-
-
 def test_any_order_of_late_runs_leaves_a_leaders_keys_as_some_order_of_answered_ones_would() -> None:
     late = waiting = 0
     for seed in range(200):
