review: case 2 is now mistaken jobs that take machines with services out of use

Cause: a machine on which two jobs failed is marked for release for good; one with a service's replica never empties, so it neither leaves nor is used again.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -56,9 +56,11 @@
     jobs: dict[str, dict[str, Any]] = field(default_factory=dict)  # submissions by id
     run_s: dict[str, float] = field(default_factory=dict)  # how long a task of the job runs
     results: set[str] = field(default_factory=set)  # tasks whose result is kept
+    failures: set[tuple[str, str]] = field(default_factory=set)  # task and machine of each task that failed
     on_machine: dict[str, set[tuple[str, int]]] = field(default_factory=dict)  # machine and attempt, by task
     broken: list[str] = field(default_factory=list)  # rules that were seen broken
     largest_answer_line: int = 0
+    mistaken: set[str] = field(default_factory=set)  # jobs whose tasks fail on every machine
     sick: set[str] = field(default_factory=set)  # machines that fail every task that they start
     refused_builds: set[str] = field(default_factory=set)  # machine types of which the cloud has none to give
 
@@ -258,8 +260,9 @@
         self.world.task_starts(task.parcel, self.host, task.attempt)
         task.standing = "running"
         self._changed.set()
-        if self.host in self.world.sick:
+        if self.host in self.world.sick or job["name_id"] in self.world.mistaken:
             await asyncio.sleep(0.2)
+            self.world.failures.add((task.parcel, self.host))
             self._exit(task, "error")
             return
         if task.parcel not in self.world.results:
