review: case 2 is now a spread gang that idles the machines of the only zone left

Cause: the reservations for a waiting gang ignore its rule on zones, so they hold machines that the gang may not use.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -46,6 +46,30 @@
         return entry
 
 
+@dataclass
+class Gang:
+    """One attempt of a gang: its tasks start together once all of them are there, and complete together."""
+
+    size: int
+    gathered: set[str] = field(default_factory=set)
+    started: asyncio.Event = field(default_factory=asyncio.Event)
+    broken: asyncio.Event = field(default_factory=asyncio.Event)
+    completes_at: float = 0.0
+
+    def join(self, parcel: str, run_s: float) -> None:
+        """Add a task that has its image; the last one starts the gang."""
+        self.gathered.add(parcel)
+        if len(self.gathered) == self.size and not self.started.is_set():
+            self.completes_at = time.monotonic() + run_s
+            self.started.set()
+
+    def leave(self, parcel: str) -> None:
+        """Remove a task; a gang that runs breaks unless it is complete."""
+        self.gathered.discard(parcel)
+        if self.started.is_set() and time.monotonic() < self.completes_at - 0.05:
+            self.broken.set()
+
+
 @dataclass
 class World:
     """What users uploaded, what tasks did, and the record of both."""
@@ -55,6 +79,7 @@
     nodes: dict[str, str] = field(default_factory=dict)  # address of each controller by name, in the workers' order
     jobs: dict[str, dict[str, Any]] = field(default_factory=dict)  # submissions by id
     run_s: dict[str, float] = field(default_factory=dict)  # how long a task of the job runs
+    gangs: dict[tuple[str, int], Gang] = field(default_factory=dict)  # by job and attempt
     results: set[str] = field(default_factory=set)  # tasks whose result is kept
     failures: set[tuple[str, str]] = field(default_factory=set)  # task and machine of each task that failed
     on_machine: dict[str, set[tuple[str, int]]] = field(default_factory=dict)  # machine and attempt, by task
@@ -81,6 +106,9 @@
         """Note that a task has left the machine."""
         entries = self.on_machine.get(parcel, set())
         if (machine, attempt) in entries:
+            gang = self.gangs.get((parcel.rpartition("/")[0], attempt))
+            if gang is not None:
+                gang.leave(parcel)
             entries.discard((machine, attempt))
             self.note("task leaves", parcel=parcel, machine=machine, attempt=attempt, why=why)
 
@@ -258,6 +286,9 @@
     async def _run_task(self, task: Task, job: dict[str, Any]) -> None:
         await self._fetch(job)
         self.world.task_starts(task.parcel, self.host, task.attempt)
+        if job["shape"] == "gang" and task.parcel not in self.world.results:
+            await self._run_gang_task(task, job)
+            return
         task.standing = "running"
         self._changed.set()
         if self.host in self.world.sick or job["name_id"] in self.world.mistaken:
@@ -273,6 +304,26 @@
             self.world.results.add(task.parcel)
         self._exit(task, "done")
 
+    async def _run_gang_task(self, task: Task, job: dict[str, Any]) -> None:
+        gang = self.world.gangs.setdefault((job["name_id"], task.attempt), Gang(job["parcels"]))
+        task.standing = "gathering"
+        self._changed.set()
+        gang.join(task.parcel, self.world.run_s.get(job["name_id"], 1.0))
+        try:
+            await asyncio.wait_for(gang.started.wait(), self.world.settings.gang_wait_s)
+        except TimeoutError:
+            self._exit(task, "alone")
+            return
+        task.standing = "running"
+        self._changed.set()
+        try:
+            await asyncio.wait_for(gang.broken.wait(), max(0.0, gang.completes_at - time.monotonic()))
+        except TimeoutError:
+            self.world.results.add(task.parcel)
+            self._exit(task, "done")
+        else:
+            self._exit(task, "mates_gone")
+
     async def _fetch(self, job: dict[str, Any]) -> None:
         image = job["kit"]
         if image in self.images:
@@ -356,6 +407,12 @@
             self.lists.append((time.monotonic(), self._now_listed()))
             await asyncio.sleep(0.25)
 
+    def end_machine(self, name: str) -> None:
+        """The machine stops with all that is on it, and is gone."""
+        self.world.note("machine dies", machine=name)
+        del self.machines[name]
+        self.workers.pop(name).stop("machine died")
+
     async def _handle(self, method: str, path: str, query: dict[str, str], body: Any) -> Reply | None:
         if path == "/catalog":
             return 200, {"builds": self.builds}
