Durations that users send are kept within what can be planned with

What callers saw: after one submission with `guess_s` of 3e11 (300 s in nanoseconds, accepted with 201) no task of any job was started, and the leader changed every three seconds. From 2.2e11 to 2.5e11 s nothing ended, but neither the job nor any other of its shape was placed. With an estimate below half a microsecond the first heartbeat that reported the end of one of its tasks ended the handler with a ZeroDivisionError, again and again.

`candidate_machines` and `Placement.expected_end` add the estimate to a `datetime`, which ends with the year 9999 (OverflowError in the scheduling pass, so in each leader's term); before that it passes `FOREVER`, the year 9000, which stands for "not reserved". `_update_runtime_ratio` divides by the estimate, which `timedelta` had rounded to zero. `time_budget` turns the lateness of a path into a `timedelta`, which an array of 100,000 waves exceeds.

Change: `JobSpec` brings its durations between a microsecond and ten years, and its acceptance time before `FOREVER` (`roseweir/bounds.py`), whether it comes from a request or from a record that an earlier version stored. `clock.seconds` and `clock.milliseconds` bound what they return and keep the sign, so that a positive duration stays one.

Measured: tests/test_extreme_numbers.py (virtual time, three controllers, CPU and GPU jobs of each type, a failover in between).

--- a/roseweir/clock.py
+++ b/roseweir/clock.py
@@ -8,6 +8,9 @@
 ZERO = timedelta(0)
 NEVER = datetime(1970, 1, 1)
 FOREVER = datetime(9000, 1, 1)
+# Longer durations are shortened to this one, so that no sum with an instant leaves the range of `datetime` or passes
+# `FOREVER`. No task, deadline or machine is planned for as long.
+MAX_DURATION = timedelta(days=3650)
 # A wait that ends this much later than planned, or more, means that the process was paused meanwhile.
 PROCESS_PAUSE_THRESHOLD = timedelta(seconds=1.5)
 
@@ -41,6 +44,20 @@
         pass
 
 
+_MAX_DURATION_S = MAX_DURATION.total_seconds()
+
+
 def seconds(value: float) -> timedelta:
-    """A duration given in seconds."""
-    return timedelta(seconds=value)
+    """A duration given in seconds, of at most `MAX_DURATION` in either direction; it is zero only if `value` is.
+
+    A value that is too small for `timedelta` keeps its sign: what was checked to be positive can be divided by.
+    """
+    duration = timedelta(seconds=min(max(value, -_MAX_DURATION_S), _MAX_DURATION_S))
+    if not duration and value != 0:
+        return timedelta.resolution if value > 0 else -timedelta.resolution
+    return duration
+
+
+def milliseconds(value: float) -> timedelta:
+    """A duration given in milliseconds, bounded like that of `seconds`."""
+    return seconds(min(max(value, -_MAX_DURATION_S * 1000), _MAX_DURATION_S * 1000) / 1000)
--- a/roseweir/cloud/scale_out.py
+++ b/roseweir/cloud/scale_out.py
@@ -10,7 +10,7 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
-from roseweir.clock import ZERO, seconds
+from roseweir.clock import ZERO, milliseconds, seconds
 from roseweir.cloud.capacity import available_machines, pool_capacity, tasks_per_machine, units_per_task
 from roseweir.cloud.offers import MIN_UNITS, UNIT_TOLERANCE, MachineOffer, MachineRequest, choose_offers
 from roseweir.scheduler.capacity_snapshot import allows_machine
@@ -39,13 +39,13 @@
     if slack_ms is not None:
         # The delivery deadline is at risk: the budget is a fraction of the slack, which leaves out the job's runtime.
         # Callers raise the budget to the estimated runtime at least.
-        return max(ZERO, timedelta(milliseconds=slack_ms)) * TIME_BUDGET_FRACTION
+        return max(ZERO, milliseconds(slack_ms)) * TIME_BUDGET_FRACTION
     budget = DEFAULT_TIME_BUDGET
     for objective in objectives:
         if _objective_applies(objective, run):
             budget = min(budget, _time_budget_by_objective(objective, time_since_eligible))
     if spec.deadline_s is not None and not _has_wait_or_finish_slo(objectives, spec):
-        time_before_eligible = timedelta(milliseconds=run.eligible_from_ms - run.deadline_base_ms)
+        time_before_eligible = milliseconds(run.eligible_from_ms - run.deadline_base_ms)
         budget = (seconds(spec.deadline_s) - time_since_eligible - time_before_eligible) * TIME_BUDGET_FRACTION
     return budget
 
@@ -180,7 +180,7 @@
         for placement in run.placements.values():
             work_unit_seconds += task_units * max(0.0, (placement.expected_end(now, estimate) - now).total_seconds())
         if pending_count > 0:
-            time_since_eligible = timedelta(milliseconds=max(0, wall_ms - run.eligible_from_ms))
+            time_since_eligible = milliseconds(max(0, wall_ms - run.eligible_from_ms))
             budget = max(time_budget(cluster_state, run, time_since_eligible + min_boot_duration), estimate)
             work_done = _work_done_while_booting(available_units - service_units, min_boot_duration)
             needed_units = max(needed_units, service_units + (work_unit_seconds - work_done) / budget.total_seconds())
--- a/roseweir/scheduler/cluster_state.py
+++ b/roseweir/scheduler/cluster_state.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from roseweir.bounds import bounded_unix_ms
 from roseweir.clock import NEVER, ZERO, seconds
 from roseweir.limits import StartupLimits
 from roseweir.operator_config import OperatorConfig
@@ -223,7 +224,7 @@
     def release_job(self, run: JobRun, ready_ms: int) -> None:
         """Release a held job. Its queue position and waiting time count from `ready_ms`, Unix time in milliseconds."""
         run.hold_reason = ""
-        run.eligible_from_ms = ready_ms
+        run.eligible_from_ms = bounded_unix_ms(ready_ms)
         self.needs_quota_update = self.needs_scheduling = True
 
     def set_effective_priority(self, run: JobRun, priority: int) -> None:
--- a/roseweir/submissions/jobs/model.py
+++ b/roseweir/submissions/jobs/model.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from roseweir.bounds import bound_fields, bounded_duration_s, bounded_unix_ms
 from roseweir.clock import seconds
 
 JobType = Literal["array", "gang", "service"]
@@ -55,6 +56,9 @@
         return bool(self.job_ids) or self.part_count > 0
 
 
+_DURATION_FIELDS = ("estimated_duration_s", "checkpoint_interval_s", "checkpoint_duration_s", "deadline_s")
+
+
 class JobSpec(
     msgspec.Struct,
     frozen=True,
@@ -76,6 +80,9 @@
     """A job as its user described it, under the names used throughout the service.
 
     Resources are per task: CPUs, GPUs, GB. Fields ending in `_s` are seconds, `accepted_ms` is Unix time in ms.
+
+    Users may send any number, and so may records of earlier versions: an estimate in nanoseconds, say. Durations and
+    times are brought within the bounds of `roseweir.bounds`.
     """
 
     id: str
@@ -104,6 +111,11 @@
     # Of a workflow step, the jobs whose durable completion it waits for; of other jobs, those that the user named.
     depends_on: list[str] | StoredDependencies = []
 
+    def __post_init__(self) -> None:
+        bound_fields(self, _DURATION_FIELDS, bounded_duration_s)
+        if bounded_unix_ms(self.accepted_ms) != self.accepted_ms:
+            msgspec.structs.force_setattr(self, "accepted_ms", bounded_unix_ms(self.accepted_ms))
+
     @property
     def dependencies(self) -> StoredDependencies:
         """The dependencies that the submission named; falsy if there are none, as for a workflow step."""
--- /dev/null
+++ b/tests/test_extreme_numbers.py
@@ -0,0 +1,267 @@
+"""Submissions with the largest and smallest numbers that the users' API accepts, on the complete service.
+
+Whatever numbers a user sends, the submission is refused with 400 or 422, or its job runs, and so does every other job,
+under the same leader and without an error in any log (incident docs/incidents/review-1.md).
+"""
+
+import asyncio
+import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+import pytest
+
+from roseweir.clock import ZERO, seconds
+from roseweir.cloud.scale_out import time_budget
+from roseweir.dependencies.graph import DependencyGraph
+from roseweir.dependencies.slack import latest_start_times, slack_of_jobs_at_risk
+from roseweir.submissions.jobs import LIVE_JOB_PREFIX, model
+from roseweir.submissions.messages import Submission
+from tests.simulation.cluster import TEAM_GPU_LIMIT, SimulatedCluster, raise_first_failure, virtual_now
+from tests.simulation.job_specs import make_job_spec as job_spec
+from tests.simulation.machine_faults import cancel_until_confirmed
+from tests.test_scheduler import make_cluster_state
+
+LARGEST_NUMBER = 1e12  # accepted by the users' API
+# Beyond the range of `timedelta`, and of `datetime` as a sum with an instant: found by the review (300 s as 3e11 ns).
+NANOSECONDS = 3e11
+BEYOND_FOREVER_S = 2.3e11  # from now on, an instant that `datetime` can represent, later than `clock.FOREVER`
+SMALLEST_NUMBER = 5e-324
+SHORTEST_DURATION_S = 1e-9  # shorter than `timedelta` can represent
+JOB_TYPES = ("sweep", "gang", "daemon")
+# A job that nothing holds up starts within this time: a machine boots, and its image is fetched.
+MAX_START_S = 40.0
+
+Fields = dict[str, float]
+
+EXTREME_DURATIONS: dict[str, Fields] = {
+    f"{field} {value:g}": {field: value}
+    for field in ("guess_s", "due_s")
+    for value in (0.0, SMALLEST_NUMBER, SHORTEST_DURATION_S, 1e9, BEYOND_FOREVER_S, NANOSECONDS, LARGEST_NUMBER)
+} | {
+    f"checkpoint every {interval_s:g} in {duration_s:g}": {"mark_every_s": interval_s, "mark_s": duration_s}
+    for interval_s in (SMALLEST_NUMBER, SHORTEST_DURATION_S, LARGEST_NUMBER)
+    for duration_s in (0.0, SMALLEST_NUMBER, LARGEST_NUMBER)
+}
+
+
+def submission(number: int, **fields: Any) -> dict[str, Any]:
+    return {
+        "name_id": f"j-{number:06d}",
+        "docket": "x",
+        "crew": "t0",
+        "shape": "sweep",
+        "rank": "normal",
+        "parcels": 2,
+        "cores": 1.0,
+        "accelerators": 0.0,
+        "memory_gb": 1.0,
+        "kit": "img-0",
+        "size_gb": 0.5,
+        "builds": None,
+        "yard": None,
+        "together": False,
+        "scatter": False,
+        "loaners": True,
+        "guess_s": 5.0,
+        "mark_every_s": 0.0,
+        "mark_s": 0.0,
+        "due_s": 60.0,
+    } | fields
+
+
+class SubmissionsCluster(SimulatedCluster):
+    """A cluster without faults, whose users submit the jobs that a test gives it and wait until each has run."""
+
+    def __init__(self, seed: int = 1, run_time_s: float = 3.0, **options: Any) -> None:
+        super().__init__(seed, without_random_faults=True, **options)
+        self.run_time_s = run_time_s
+        self.run_time_by_job: dict[str, float] = {}
+        self.statuses: dict[str, int] = {}
+
+    def draw_run_time_s(self, job: dict[str, Any]) -> float:
+        return self.run_time_by_job.get(job["name_id"], self.run_time_s)
+
+    async def wait_for_leader(self) -> None:
+        while not any(c.service is not None and c.service.leader_term is not None for c in self.controllers):
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(5.0)  # the first machines are up
+
+    async def submit(self, job: dict[str, Any], run_time_s: float | None = None) -> bool:
+        """Submit a job until a final answer; return whether it was accepted. Refusals have to be 400 or 422."""
+        job_id = job["name_id"]
+        self.jobs[job_id] = job
+        if run_time_s is not None:
+            self.run_time_by_job[job_id] = run_time_s
+        for _ in range(5):
+            status, answer = await self.send_user_request("POST", "/submissions", job)
+            self.check_answer(job_id, status, answer)
+            if status in (200, 201, 400, 422):
+                break
+            await asyncio.sleep(1.0)
+        self.check_rule(status in (200, 201, 400, 422), f"{job_id} was answered {status} {answer}")
+        self.statuses[job_id] = status
+        if status in (200, 201):
+            self.accepted_jobs.add(job_id)
+        return status in (200, 201)
+
+    async def check_repeated(self, job_id: str) -> None:
+        """A repeated submission of an accepted job is answered 200, whatever this version thinks of its numbers."""
+        status, answer = await self.send_user_request("POST", "/submissions", self.jobs[job_id])
+        self.check_answer(job_id, status, answer)
+        self.check_rule(status == 200, f"forgotten: repeated submission of {job_id} is answered {status}")
+
+    async def wait_until_run(self, job_ids: list[str], within_s: float = MAX_START_S) -> None:
+        """Wait until each job is done, or all replicas of a service run; services are cancelled then."""
+        deadline = virtual_now() + within_s
+        remaining = [job_id for job_id in job_ids if job_id in self.accepted_jobs]
+        while remaining and virtual_now() < deadline:
+            await asyncio.sleep(0.5)
+            for job_id in list(remaining):
+                if await self._has_run(job_id):
+                    remaining.remove(job_id)
+        self.check_rule(not remaining, f"left waiting for {within_s:.0f} s: {', '.join(remaining)}")
+
+    async def _has_run(self, job_id: str) -> bool:
+        job = self.jobs[job_id]
+        if job["shape"] != "daemon":
+            status, answer = await self.send_user_request("GET", f"/submissions/{job_id}")
+            self.check_answer(job_id, status, answer)
+            return status == 200 and answer["standing"] == "done"
+        if sum(t.job_id == job_id and t.state == "running" for _, t in self.active_tasks()) < job["parcels"]:
+            return False
+        self.spawn(cancel_until_confirmed(self, job_id))
+        return True
+
+    def check_terms(self, expected_count: int) -> None:
+        self.check_rule(
+            len(self.leader_by_term) == expected_count, f"{len(self.leader_by_term)} terms, expected {expected_count}"
+        )
+
+
+@contextmanager
+def no_errors_logged(caplog: pytest.LogCaptureFixture) -> Iterator[None]:
+    caplog.clear()
+    with caplog.at_level(logging.INFO):
+        yield
+    errors = [r.getMessage() for r in caplog.records if r.exc_info or r.levelno >= logging.ERROR]
+    assert not errors, errors
+
+
+def jobs_of_all_types(first_number: int, **fields: Any) -> list[dict[str, Any]]:
+    return [submission(first_number + n, shape=job_type, **fields) for n, job_type in enumerate(JOB_TYPES)]
+
+
+def run_beside_sound_jobs(extreme_fields: Fields, **common_fields: Any) -> SubmissionsCluster:
+    """Submit extreme and sound jobs of each type, twice: the second time to the next leader, which recovers the first.
+
+    The extreme jobs run on while the others wait and run.
+    """
+    cluster = SubmissionsCluster()
+
+    async def act(_: SimulatedCluster) -> None:
+        await cluster.wait_for_leader()
+        for turn in range(2):
+            extreme = jobs_of_all_types(100 * turn + 1, **(common_fields | extreme_fields))
+            sound = jobs_of_all_types(100 * turn + 11, **common_fields)
+            for job in extreme:
+                await cluster.submit(job, run_time_s=10.0)
+            await asyncio.sleep(2.0)
+            for job in sound:
+                assert await cluster.submit(job)
+            await cluster.wait_until_run([job["name_id"] for job in sound + extreme], within_s=60.0)
+            for job in extreme:
+                if job["name_id"] in cluster.accepted_jobs:
+                    await cluster.check_repeated(job["name_id"])
+            cluster.check_terms(turn + 1)
+            if turn == 0:
+                # One more job of each type waits or runs when the leader changes.
+                for job in jobs_of_all_types(51, **(common_fields | extreme_fields)):
+                    await cluster.submit(job, run_time_s=10.0)
+                await cluster.restart_controller(cluster.current_leader())
+                while len(cluster.leader_by_term) < 2:
+                    await asyncio.sleep(0.5)
+                await cluster.wait_until_run([f"j-{51 + n:06d}" for n in range(len(JOB_TYPES))], within_s=60.0)
+        cluster.is_over = True
+
+    cluster.schedule_action(act)
+    cluster.run(length_s=400.0, job_count=0)
+    return cluster
+
+
+@pytest.mark.parametrize("gpus", [0.0, 1.0])
+@pytest.mark.parametrize("case", EXTREME_DURATIONS)
+def test_extreme_durations_keep_no_job_from_running(case: str, gpus: float, caplog: pytest.LogCaptureFixture) -> None:
+    """A job with an estimate of 300 s in nanoseconds ended every leader's term: nothing was started (review/1)."""
+    with no_errors_logged(caplog):
+        cluster = run_beside_sound_jobs(EXTREME_DURATIONS[case], accelerators=gpus)
+    raise_first_failure(cluster)
+    assert cluster.is_over
+
+
+def test_stored_estimate_of_an_earlier_version_keeps_no_job_from_running(caplog: pytest.LogCaptureFixture) -> None:
+    """An earlier version accepted the job and stored its number unchanged: it runs, and a repeat finds it."""
+    cluster = SubmissionsCluster()
+    extreme = jobs_of_all_types(1, guess_s=NANOSECONDS, due_s=LARGEST_NUMBER, mark_s=LARGEST_NUMBER, mark_every_s=1.0)
+
+    async def act(_: SimulatedCluster) -> None:
+        for job in extreme:
+            cluster.jobs[job["name_id"]] = job
+            cluster.accepted_jobs.add(job["name_id"])
+            cluster.externally_changed_jobs.add(job["name_id"])
+            cluster.run_time_by_job[job["name_id"]] = 10.0
+            cluster.kv_store.revision += 1
+            cluster.kv_store.apply_change(LIVE_JOB_PREFIX + job["name_id"], stored_unchanged(job), None)
+        await cluster.wait_for_leader()
+        sound = jobs_of_all_types(11)
+        for job in sound:
+            assert await cluster.submit(job)
+        await cluster.wait_until_run([job["name_id"] for job in sound + extreme])
+        for job in extreme:
+            await cluster.check_repeated(job["name_id"])
+        cluster.check_terms(1)
+        cluster.is_over = True
+
+    cluster.schedule_action(act)
+    with no_errors_logged(caplog):
+        cluster.run(length_s=120.0, job_count=0)
+    raise_first_failure(cluster)
+    assert cluster.is_over
+
+
+def stored_unchanged(job: dict[str, Any]) -> dict[str, Any]:
+    """The record of a job as versions wrote it that stored all numbers as they were sent."""
+    record: dict[str, Any] = msgspec.to_builtins(msgspec.convert(job, Submission).to_spec(accepted_ms=1))
+    return record | {
+        "estimate_s": job["guess_s"],
+        "checkpoint_s": job["mark_every_s"],
+        "save_s": job["mark_s"],
+        "deadline_s": job["due_s"],
+    }
+
+
+def test_lateness_beyond_the_range_of_durations_has_a_time_budget() -> None:
+    """The path of an array that its team's limit splits into 100,000 waves is longer than `timedelta` can represent."""
+    cluster_state = make_cluster_state()
+    first = cluster_state.add_job(
+        job_spec(1, task_count=100_000, gpus=TEAM_GPU_LIMIT, estimated_duration_s=LARGEST_NUMBER, deadline_s=60.0), 1
+    )
+    latest_starts = latest_start_times(cluster_state, DependencyGraph(), [first.spec.id])
+    cluster_state.set_slack("pipelines", slack_of_jobs_at_risk(latest_starts, now_ms=60_000))
+    assert first.spec.id in cluster_state.slack_ms_by_job
+    assert time_budget(cluster_state, first, seconds(60)) == ZERO
+
+
+def leave_durations_unbounded(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(model, "bound_fields", lambda record, names, bound: None)
+    patch.setattr(model, "seconds", lambda value: timedelta(seconds=value))
+
+
+@pytest.mark.parametrize("case", ["guess_s 1e-09", "guess_s 2.3e+11", "guess_s 3e+11"])
+def test_unbounded_durations_are_caught(case: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    leave_durations_unbounded(monkeypatch)
+    cluster = run_beside_sound_jobs(EXTREME_DURATIONS[case])
+    assert cluster.rule_violations or cluster.errors
