A machine is rented for a job whose tasks need almost nothing

What callers saw: a job with `cores` of 0 (or 1e-9), or with `accelerators` of 1e-9, was accepted with 201 and never started if no machine was there that it may use: none was rented. A job without cores that needs memory is one of them.

Cause: rentals are counted in units, the CPUs or GPUs of the tasks, and fewer units than the rounding tolerance (1e-6) rent nothing. The lower bound of a thousandth of a unit for each task was applied to the requested units, but not to those of tasks that no machine can hold, and of starving jobs.

Change: `rented_units_per_task` gives that lower bound in one place, wherever machines are chosen, and a request that is worth making is for one machine at least.

Tasks of a thousandth of a unit and more count as before.

--- a/roseweir/cloud/offers.py
+++ b/roseweir/cloud/offers.py
@@ -16,9 +16,9 @@
 MAX_MACHINES_PER_REQUEST = 10
 # Differences between sums of units below this are rounding errors.
 UNIT_TOLERANCE = 1e-6
-# Units counted at least for each task, and for the tasks on a machine: tasks may need almost none, and the number of
-# machines to rent is a quotient by these units.
-MIN_UNITS = 1e-3
+# Units counted at least for each task that machines are rented for: tasks may need almost none, and fewer units in all
+# than `UNIT_TOLERANCE` would rent nothing.
+MIN_UNITS_PER_TASK = 1e-3
 
 
 class MachineOffer(NamedTuple):
@@ -56,6 +56,11 @@
     tasks_per_machine: int
 
 
+def rented_units_per_task(spec: JobSpec) -> float:
+    """Return the units that a task counts as while machines are chosen for it; always above 0."""
+    return max(units_per_task(spec), MIN_UNITS_PER_TASK)
+
+
 def choose_offers(
     cluster_state: ClusterState,
     spec: JobSpec,
@@ -77,9 +82,9 @@
     for ranked in offers:
         if obtained_units >= requested_units - UNIT_TOLERANCE:
             break
-        units_per_machine = max(units_per_task(spec) * ranked.tasks_per_machine, MIN_UNITS)
+        units_per_machine = rented_units_per_task(spec) * ranked.tasks_per_machine
         missing_machines = (requested_units - obtained_units) / units_per_machine
-        count = min(MAX_MACHINES_PER_REQUEST, ceil(missing_machines - UNIT_TOLERANCE))
+        count = min(MAX_MACHINES_PER_REQUEST, max(1, ceil(missing_machines - UNIT_TOLERANCE)))
         machine_requests.append(MachineRequest(*ranked.offer, count))
         obtained_units += count * units_per_machine
     return obtained_units
--- a/roseweir/cloud/scale_out.py
+++ b/roseweir/cloud/scale_out.py
@@ -12,7 +12,13 @@
 
 from roseweir.clock import ZERO, milliseconds, seconds
 from roseweir.cloud.capacity import available_machines, pool_capacity, tasks_per_machine, units_per_task
-from roseweir.cloud.offers import MIN_UNITS, UNIT_TOLERANCE, MachineOffer, MachineRequest, choose_offers
+from roseweir.cloud.offers import (
+    UNIT_TOLERANCE,
+    MachineOffer,
+    MachineRequest,
+    choose_offers,
+    rented_units_per_task,
+)
 from roseweir.scheduler.capacity_snapshot import allows_machine
 from roseweir.scheduler.cluster_state import ClusterState
 from roseweir.scheduler.model import JobRun, Machine
@@ -100,7 +106,7 @@
             spec = run.spec
             missing_units = max(missing_units, _unplaceable_units(cluster_state, run, unplaced_count, machines))
             requested_units = max(
-                min(missing_units, unplaced_count * max(units_per_task(spec), MIN_UNITS)),
+                min(missing_units, unplaced_count * rented_units_per_task(spec)),
                 _starvation_units(run, unplaced_count, machines),
             )
             if requested_units <= UNIT_TOLERANCE:
@@ -133,7 +139,7 @@
             missing_tasks -= tasks_by_type.get(machine.machine_type.name, 0)
         if missing_tasks <= 0:
             return 0.0
-    return min(missing_tasks, unplaced_count) * units_per_task(spec)
+    return min(missing_tasks, unplaced_count) * rented_units_per_task(spec)
 
 
 def _starvation_units(run: JobRun, unplaced_count: int, machines: list[Machine]) -> float:
@@ -146,7 +152,7 @@
     if run.starvation_level == NOT_STARVING or not spec.is_admitted_as_unit:
         return 0.0
     booting_tasks = sum(m.count_fitting_tasks(spec, 0.0) for m in machines if m.is_booting and allows_machine(spec, m))
-    return max(0, unplaced_count - booting_tasks) * units_per_task(spec)
+    return max(0, unplaced_count - booting_tasks) * rented_units_per_task(spec)
 
 
 def _capacity_shortage(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -314,6 +314,21 @@
     ] == []
 
 
+@pytest.mark.parametrize("job_type", ["array", GANG, SERVICE])
+@pytest.mark.parametrize("demand", [{"cpus": 0.0}, {"cpus": 1e-9}, {"cpus": 0.0, "gpus": 1e-9}], ids=str)
+def test_scale_out_rents_one_machine_for_tasks_that_need_almost_nothing(
+    job_type: str, demand: dict[str, float]
+) -> None:
+    """Fewer units than the rounding tolerance rented nothing: with no machine yet, the job waited for ever."""
+    cluster_state = make_cluster_state()
+    cluster_state.add_job(job(1, job_type=job_type, task_count=100, **({"memory_gb": 0.0} | demand)), 1)
+    at = NOW + seconds(1)
+    pass_result = run_scheduling_pass(cluster_state, at)
+    requests, _ = plan_scale_out(cluster_state, pass_result, {}, 0, at)
+    assert [request.count for request in requests] == [1]
+    assert requests[0].type_name == ("gpu" if demand.get("gpus") else "cpu")
+
+
 def test_scale_out_rents_cheapest_fit_and_nothing_beyond_team_limit() -> None:
     cluster_state = make_cluster_state()
     cluster_state.add_job(job(1, task_count=16, allows_spot=False), 1)
