Amounts that users send are kept within what can be calculated with

Cause: the number of tasks that fit is a quotient of the free amount and the task's.

Change: `JobSpec` brings each amount above 0 between 1e-6, the shortage that is ignored as rounding error, and 1e12, the most that a submission may ask for. An amount above 0 stays above 0: a task with any share of a GPU does not go to a machine without one.

Taking the bound away is caught (`test_unbounded_amounts_are_caught`).

--- a/roseweir/bounds.py
+++ b/roseweir/bounds.py
@@ -16,6 +16,19 @@
 # Unix time in milliseconds. The instant that it stands for on the monotonic clock has to lie before FOREVER as well.
 MAX_UNIX_MS = (FOREVER - NEVER).days * 24 * 3600 * 1000
 
+# CPUs, GPUs and GB. Shortages below the first are ignored as rounding errors (`CAPACITY_TOLERANCE`); the second is the
+# most that a submission may ask for.
+MIN_AMOUNT = 1e-6
+MAX_AMOUNT = 1e12
+
+
+def bounded_amount(value: float) -> float:
+    """Return the nearest amount of a resource that can be calculated with; 0 or below becomes 0.0.
+
+    Amounts above 0 stay above 0: a task that needs a share of a GPU, however small, does not fit a machine without any.
+    """
+    return min(max(value, MIN_AMOUNT), MAX_AMOUNT) if value > 0 else 0.0
+
 
 def bounded_duration_s(value: float) -> float:
     """Return the nearest duration, in seconds, that can be planned with; 0 or below becomes 0.0."""
--- a/roseweir/submissions/jobs/model.py
+++ b/roseweir/submissions/jobs/model.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from roseweir.bounds import bound_fields, bounded_duration_s, bounded_unix_ms
+from roseweir.bounds import bound_fields, bounded_amount, bounded_duration_s, bounded_unix_ms
 from roseweir.clock import seconds
 
 JobType = Literal["array", "gang", "service"]
@@ -56,6 +56,7 @@
         return bool(self.job_ids) or self.part_count > 0
 
 
+_AMOUNT_FIELDS = ("cpus", "gpus", "memory_gb", "image_gb")
 _DURATION_FIELDS = ("estimated_duration_s", "checkpoint_interval_s", "checkpoint_duration_s", "deadline_s")
 
 
@@ -81,8 +82,8 @@
 
     Resources are per task: CPUs, GPUs, GB. Fields ending in `_s` are seconds, `accepted_ms` is Unix time in ms.
 
-    Users may send any number, and so may records of earlier versions: an estimate in nanoseconds, say. Durations and
-    times are brought within the bounds of `roseweir.bounds`.
+    Users may send any number, and so may records of earlier versions: an estimate in nanoseconds, say. Amounts,
+    durations and times are brought within the bounds of `roseweir.bounds`.
     """
 
     id: str
@@ -112,6 +113,7 @@
     depends_on: list[str] | StoredDependencies = []
 
     def __post_init__(self) -> None:
+        bound_fields(self, _AMOUNT_FIELDS, bounded_amount)
         bound_fields(self, _DURATION_FIELDS, bounded_duration_s)
         if bounded_unix_ms(self.accepted_ms) != self.accepted_ms:
             msgspec.structs.force_setattr(self, "accepted_ms", bounded_unix_ms(self.accepted_ms))
--- a/roseweir/submissions/messages.py
+++ b/roseweir/submissions/messages.py
@@ -5,11 +5,13 @@
 import msgspec
 from msgspec import Meta
 
+from roseweir.bounds import MAX_AMOUNT
 from roseweir.submissions.jobs import JobSpec, JobType, StoredDependencies
 
 # `\Z` matches only at the end; `$` would allow a trailing line break, which a key of the store can't contain.
 JOB_ID = r"^j-[0-9]{1,18}\Z"
-ResourceAmount = Annotated[float, Meta(ge=0, le=1e12)]
+# Amounts of resources and durations; the job model brings small ones within bounds.
+NonNegativeNumber = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
 
 _JOB_TYPES: dict[str, JobType] = {"sweep": "array", "gang": "gang", "daemon": "service"}
 _PRIORITIES = {"critical": 0, "urgent": 1, "normal": 2, "low": 3}
@@ -48,20 +50,20 @@
     job_type: Literal["sweep", "gang", "daemon"]
     priority: Literal["critical", "urgent", "normal", "low"]
     task_count: Annotated[int, Meta(ge=1, le=100_000)]
-    cpus: ResourceAmount
-    gpus: ResourceAmount
-    memory_gb: ResourceAmount
+    cpus: NonNegativeNumber
+    gpus: NonNegativeNumber
+    memory_gb: NonNegativeNumber
     image: Annotated[str, Meta(min_length=1, max_length=200)]
-    image_gb: ResourceAmount
+    image_gb: NonNegativeNumber
     requires_single_zone: bool
     spread_across_zones: bool
     allows_spot: bool
-    estimated_duration_s: ResourceAmount
-    checkpoint_interval_s: ResourceAmount
-    checkpoint_duration_s: ResourceAmount
+    estimated_duration_s: NonNegativeNumber
+    checkpoint_interval_s: NonNegativeNumber
+    checkpoint_duration_s: NonNegativeNumber
     machine_types: list[Annotated[str, Meta(max_length=200)]] | None = None
     zone: Annotated[str, Meta(max_length=200)] | None = None
-    deadline_s: ResourceAmount | None = None
+    deadline_s: NonNegativeNumber | None = None
     # Jobs that have to be done before any task of this one starts.
     depends_on: list[Annotated[str, Meta(pattern=JOB_ID)]] | None = None
 
--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -47,6 +47,17 @@
     for duration_s in (0.0, SMALLEST_NUMBER, LARGEST_NUMBER)
 }
 
+SMALL_AMOUNTS = (0.0, SMALLEST_NUMBER, 1e-9, 1e-6)
+EXTREME_AMOUNTS: dict[str, Fields] = {
+    f"{field} {value:g}": {field: value}
+    for field in ("cores", "accelerators", "memory_gb", "size_gb")
+    for value in (*SMALL_AMOUNTS, LARGEST_NUMBER)
+} | {
+    f"nothing but {value:g} {field}": {"cores": 0.0, "accelerators": 0.0, "memory_gb": 0.0} | {field: value}
+    for field in ("cores", "accelerators", "memory_gb")
+    for value in SMALL_AMOUNTS
+}
+
 
 def submission(number: int, **fields: Any) -> dict[str, Any]:
     return {
@@ -202,6 +213,16 @@
     assert cluster.is_over
 
 
+@pytest.mark.parametrize("gpus", [0.0, 1.0])
+@pytest.mark.parametrize("case", EXTREME_AMOUNTS)
+def test_extreme_amounts_keep_no_job_from_running(case: str, gpus: float, caplog: pytest.LogCaptureFixture) -> None:
+    """A machine holds more tasks of 1e-310 cores than a float can count: the quotient ended every leader's term."""
+    with no_errors_logged(caplog):
+        cluster = run_beside_sound_jobs(EXTREME_AMOUNTS[case], accelerators=gpus)
+    raise_first_failure(cluster)
+    assert cluster.is_over
+
+
 def test_stored_estimate_of_an_earlier_version_keeps_no_job_from_running(caplog: pytest.LogCaptureFixture) -> None:
     """An earlier version accepted the job and stored its number unchanged: it runs, and a repeat finds it."""
     cluster = SubmissionsCluster()
@@ -265,3 +286,10 @@
     leave_durations_unbounded(monkeypatch)
     cluster = run_beside_sound_jobs(EXTREME_DURATIONS[case])
     assert cluster.rule_violations or cluster.errors
+
+
+@pytest.mark.parametrize("field", ["cores", "accelerators", "memory_gb"])
+def test_unbounded_amounts_are_caught(field: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(model, "bounded_amount", lambda value: value)
+    cluster = run_beside_sound_jobs({field: SMALLEST_NUMBER})
+    assert cluster.rule_violations or cluster.errors
