--- a/roseweir/drain/disruption_budget.py
+++ b/roseweir/drain/disruption_budget.py
@@ -310,8 +310,4 @@
 
 def lost_work_s(placement: Placement, now: datetime) -> float:
     """Seconds of work lost if a task ends without a final checkpoint: since its start or last periodic checkpoint."""
-    spec = placement.run.spec
-    if placement.running_since is None or spec.job_type == SERVICE:
-        return 0.0
-    run_time_s = (now - placement.running_since).total_seconds()
-    return run_time_s % spec.checkpoint_interval_s if spec.checkpoint_interval_s > 0 else run_time_s
+    return 0.0 if placement.run.spec.job_type == SERVICE else placement.work_since_checkpoint_s(now)
--- a/roseweir/drain/eviction_state_machine.py
+++ b/roseweir/drain/eviction_state_machine.py
@@ -370,19 +370,19 @@
             return "" if placement.state == wire.RUNNING else f"{placement.task_name} to be up"
         remaining = self._remaining_time(placement, now)
         cannot_checkpoint = spec.checkpoint_interval_s <= 0 and placement.running_since is not None
-        if cannot_checkpoint or remaining <= max(self.settings.soon, seconds(spec.checkpoint_duration_s * 2)):
+        save_duration = seconds(spec.checkpoint_duration_s) if spec.saves_when_stopped else ZERO
+        if cannot_checkpoint or remaining <= max(self.settings.soon, save_duration * 2):
             return f"{placement.task_name} to end in about {max(0, round(remaining.total_seconds()))} s"
         if spec.job_type == GANG:
             if len(run.placements) < spec.task_count or any(p.state != wire.RUNNING for p in run.placements.values()):
                 return f"gang {spec.id} to run as a whole"
             if not all(self.cluster_state.is_heartbeat_current(p.machine, now) for p in run.placements.values()):
                 return f"to hear of all of gang {spec.id}"
-        if placement.running_since is not None and spec.checkpoint_interval_s > 0:
-            since_checkpoint_s = (now - placement.running_since).total_seconds() % spec.checkpoint_interval_s
-            if since_checkpoint_s > max(
-                MAX_CHECKPOINT_AGE_SHARE * spec.checkpoint_interval_s, MIN_CHECKPOINT_AGE_LIMIT.total_seconds()
-            ):
-                return f"the next checkpoint of {placement.task_name}"
+        max_checkpoint_age_s = max(
+            MAX_CHECKPOINT_AGE_SHARE * spec.checkpoint_interval_s, MIN_CHECKPOINT_AGE_LIMIT.total_seconds()
+        )
+        if spec.checkpoint_interval_s > 0 and placement.work_since_checkpoint_s(now) > max_checkpoint_age_s:
+            return f"the next checkpoint of {placement.task_name}"
         return ""
 
     def add_eviction(
--- a/roseweir/drain/lifecycle_listener.py
+++ b/roseweir/drain/lifecycle_listener.py
@@ -22,7 +22,7 @@
     def on_task_stopped(self, placement: Placement, cause: DowntimeCause, now: datetime) -> None:
         run = placement.run
         if not run.final_state:
-            lost_s = 0.0 if run.spec.checkpoint_interval_s > 0 else lost_work_s(placement, now)
+            lost_s = 0.0 if run.spec.saves_when_stopped else lost_work_s(placement, now)
             self.disruptions.mark_down(run, [placement.index], cause, now, lost_s)
 
     def on_task_lost(self, placement: Placement, cause: DowntimeCause, now: datetime) -> None:
--- a/roseweir/rebalancing/move_planning.py
+++ b/roseweir/rebalancing/move_planning.py
@@ -22,7 +22,6 @@
 from datetime import datetime, timedelta
 from typing import Any
 
-from roseweir.clock import NEVER
 from roseweir.rebalancing.fragmentation import total_free_gpus
 from roseweir.scheduler.capacity_snapshot import allows_machine
 from roseweir.scheduler.cluster_state import ClusterState
@@ -292,7 +291,7 @@
             if (
                 gang.final_state
                 or gang.is_gang_stopping
-                or gang.spec.checkpoint_interval_s <= 0
+                or not gang.spec.saves_when_stopped
                 or gang.priority < run.priority
                 or gang.spec.gpus >= spec.gpus
                 or any(p.state != wire.RUNNING or p.stop_requested_at is not None for p in gang.placements.values())
@@ -313,9 +312,7 @@
             )
             if slots_after_move < 1 or not fits_elsewhere(first_task):
                 continue
-            since_checkpoint_s = (
-                context.now - (first_task.running_since or NEVER)
-            ).total_seconds() % gang.spec.checkpoint_interval_s
+            since_checkpoint_s = first_task.work_since_checkpoint_s(context.now)
             candidates.append(
                 (
                     (since_checkpoint_s + gang.spec.checkpoint_duration_s) * gang.spec.gpus * gang.spec.task_count,
--- a/roseweir/scheduler/cluster_state.py
+++ b/roseweir/scheduler/cluster_state.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from roseweir.bounds import bounded_unix_ms
-from roseweir.clock import NEVER, ZERO, seconds
+from roseweir.clock import NEVER, ZERO
 from roseweir.limits import StartupLimits
 from roseweir.operator_config import OperatorConfig
 from roseweir.scheduler.headroom import Headroom
@@ -424,7 +424,7 @@
     ) -> None:
         """Request a stop with time for a checkpoint, if the task takes any; a gang's members are stopped together."""
         run = placement.run
-        grace = seconds(run.spec.checkpoint_duration_s + 1.0) if run.spec.checkpoint_interval_s > 0 else ZERO
+        grace = run.spec.checkpoint_grace
         gang_placements = list(run.placements.values()) if run.spec.job_type == GANG else [placement]
         if run.spec.job_type == GANG:
             run.is_gang_stopping = True
@@ -546,7 +546,7 @@
                 continue
             spec = placement.run.spec
             if (
-                spec.checkpoint_interval_s > 0
+                spec.saves_when_stopped
                 or placement.phase in (PlacementPhase.PLANNED, PlacementPhase.COMMITTED)
                 or spec.job_type == SERVICE
             ):
--- a/roseweir/scheduler/model.py
+++ b/roseweir/scheduler/model.py
@@ -58,6 +58,14 @@
         started_at = self.running_since or now
         return max(now, started_at + estimate)
 
+    def work_since_checkpoint_s(self, now: datetime) -> float:
+        """Return the seconds of work since the task's start or its last periodic checkpoint; 0.0 before its start."""
+        if self.running_since is None:
+            return 0.0
+        run_time_s = (now - self.running_since).total_seconds()
+        checkpoint_interval_s = self.run.spec.checkpoint_interval_s
+        return run_time_s % checkpoint_interval_s if checkpoint_interval_s > 0 else run_time_s
+
 
 @dataclass(slots=True, eq=False)
 class JobRun:
--- a/roseweir/scheduler/preemption.py
+++ b/roseweir/scheduler/preemption.py
@@ -322,10 +322,8 @@
 
 
 def _lost_work_s(placement: Placement, now: datetime) -> float:
-    """Seconds of work that are lost by stopping the task; with checkpoints, the time to save one."""
+    """Seconds of work that are lost by stopping the task; if it saves a checkpoint then, the time to save it."""
     spec = placement.run.spec
-    if placement.running_since is None:
-        return 0.0
-    if spec.checkpoint_interval_s > 0:
+    if placement.running_since is not None and spec.saves_when_stopped:
         return spec.checkpoint_duration_s
-    return (now - placement.running_since).total_seconds()
+    return placement.work_since_checkpoint_s(now)
--- a/roseweir/submissions/jobs/model.py
+++ b/roseweir/submissions/jobs/model.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from roseweir.bounds import bound_fields, bounded_amount, bounded_duration_s, bounded_unix_ms
-from roseweir.clock import seconds
+from roseweir.clock import ZERO, seconds
 
 JobType = Literal["array", "gang", "service"]
 ARRAY: JobType = "array"
@@ -56,6 +56,12 @@
         return bool(self.job_ids) or self.part_count > 0
 
 
+# Tasks that take longer than this to save a checkpoint are stopped without it: their machine is needed for other work,
+# and what they lose is the time since their last periodic checkpoint.
+MAX_CHECKPOINT_DURATION_S = 600.0
+# Time that a task is given to stop beyond the time that it needs to save a checkpoint.
+CHECKPOINT_GRACE_MARGIN_S = 1.0
+
 _AMOUNT_FIELDS = ("cpus", "gpus", "memory_gb", "image_gb")
 _DURATION_FIELDS = ("estimated_duration_s", "checkpoint_interval_s", "checkpoint_duration_s", "deadline_s")
 
@@ -128,6 +134,16 @@
         """How long a task takes, as the user estimates it."""
         return seconds(self.estimated_duration_s)
 
+    @property
+    def saves_when_stopped(self) -> bool:
+        """Whether a task saves a checkpoint when it is stopped with `checkpoint_grace`."""
+        return self.checkpoint_interval_s > 0 and self.checkpoint_duration_s <= MAX_CHECKPOINT_DURATION_S
+
+    @property
+    def checkpoint_grace(self) -> timedelta:
+        """How long a stopped task may take to save a checkpoint; zero if it saves none then."""
+        return seconds(self.checkpoint_duration_s + CHECKPOINT_GRACE_MARGIN_S) if self.saves_when_stopped else ZERO
+
     @property
     def total_resource_units(self) -> float:
         """What all tasks use together: GPUs for jobs that need them, CPUs for the rest."""
--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -28,6 +28,7 @@
 LARGEST_NUMBER = 1e12  # accepted by the users' API
 # Beyond the range of `timedelta`, and of `datetime` as a sum with an instant: found by the review (300 s as 3e11 ns).
 NANOSECONDS = 3e11
+MICROSECONDS = 4e6  # of 4 s: in seconds, 46 days
 BEYOND_FOREVER_S = 2.3e11  # from now on, an instant that `datetime` can represent, later than `clock.FOREVER`
 SMALLEST_NUMBER = 5e-324
 SHORTEST_DURATION_S = 1e-9  # shorter than `timedelta` can represent
@@ -223,6 +224,33 @@
     assert cluster.is_over
 
 
+@pytest.mark.parametrize("job_type", ["sweep", "gang"])
+def test_task_that_would_save_for_days_is_stopped_at_once(job_type: str) -> None:
+    """A preempted task that was given all the time it asked for to save a checkpoint kept its GPUs for good."""
+    cluster = SubmissionsCluster()
+
+    async def act(_: SimulatedCluster) -> None:
+        cluster.cloud.capacity = {pool: int(pool == ("gpu", "a", False)) for pool in cluster.cloud.capacity}
+        cluster.cloud.boot_failure_probability = 0.0
+        await cluster.wait_for_leader()
+        whole_machine = {"parcels": 2, "accelerators": 2.0, "shape": job_type}
+        saves_for_days = {"mark_every_s": 2.0, "mark_s": MICROSECONDS}
+        preempted = submission(1, rank="low", guess_s=300.0, **whole_machine, **saves_for_days)
+        assert await cluster.submit(preempted, run_time_s=60.0)
+        while not any(t.state == "running" for _, t in cluster.active_tasks()):
+            await asyncio.sleep(0.5)
+        assert await cluster.submit(submission(2, rank="urgent", crew="t1", **whole_machine))
+        await cluster.wait_until_run(["j-000002"])
+        await cluster.wait_until_run(["j-000001"], within_s=100.0)
+        cluster.check_terms(1)
+        cluster.is_over = True
+
+    cluster.schedule_action(act)
+    cluster.run(length_s=250.0, job_count=0)
+    raise_first_failure(cluster)
+    assert cluster.is_over
+
+
 def test_stored_estimate_of_an_earlier_version_keeps_no_job_from_running(caplog: pytest.LogCaptureFixture) -> None:
     """An earlier version accepted the job and stored its number unchanged: it runs, and a repeat finds it."""
     cluster = SubmissionsCluster()
