A CPU-only job that fits only machines with GPUs may use their CPUs

What callers saw: a job without GPUs that needs more memory than any machine type without GPUs has was accepted with 201 and left waiting beside idle machines with room, for the rest of the leader's term, once any job had asked for as many CPUs per GPU as a machine has: 4 of 16 CPUs with 1 of 4 GPUs, or one CPU with 1e-9 GPUs.

Cause: CPUs are reserved for GPU jobs by the largest quotient of CPUs and GPUs in the term (`max_cpus_per_gpu`), on all GPU machines. Other CPU-only jobs get machines without GPUs rented; these cannot, and no machine counted as large enough to be rented for them either. A machine whose GPUs are idle is also released under the CPU-only tasks that run there.

Change: such a job (`requires_gpu_machine`) leaves no CPUs free for GPUs, in placement and in the choice of machines to rent, and the machines that it waits for or runs on are not released for their idle GPUs. Jobs that fit a machine type without GPUs leave the reserve as before.

--- a/roseweir/cloud/capacity.py
+++ b/roseweir/cloud/capacity.py
@@ -25,7 +25,7 @@
 def tasks_per_machine(cluster_state: ClusterState, spec: JobSpec, machine_type: MachineType) -> int:
     """Return how many of the job's tasks fit on an empty machine of the type, beside the CPUs reserved for its GPUs."""
     return (
-        Machine("", machine_type, "", False).count_fitting_tasks(spec, cluster_state.max_cpus_per_gpu)
+        Machine("", machine_type, "", False).count_fitting_tasks(spec, cluster_state.cpus_reserved_per_gpu(spec))
         if spec.fits_machine_type(machine_type)
         else 0
     )
--- a/roseweir/cloud/scale_in.py
+++ b/roseweir/cloud/scale_in.py
@@ -71,7 +71,10 @@
 def _has_idle_gpus(
     cluster_state: ClusterState, machine: Machine, waiting_specs: list[JobSpec], idle_limit: timedelta, now: datetime
 ) -> bool:
-    """Whether a GPU machine is released for its idle GPUs, even if CPU-only tasks run on it: its GPUs set its price."""
+    """Whether a GPU machine is released for its idle GPUs, even if CPU-only tasks run on it: its GPUs set its price.
+
+    It is kept for CPU-only jobs that fit only machines with GPUs.
+    """
     return (
         machine.machine_type.gpus > 0
         and machine.gpu_task_count == 0
@@ -81,9 +84,12 @@
         and now - machine.scaled_out_at > MIN_CHARGED_DURATION
         and now >= cluster_state.overflow_until
         and not any(
-            allows_machine(spec, machine) and spec.gpus > 0 and spec.fits_machine_type(machine.machine_type)
+            allows_machine(spec, machine)
+            and (spec.gpus > 0 or cluster_state.requires_gpu_machine(spec))
+            and spec.fits_machine_type(machine.machine_type)
             for spec in waiting_specs
         )
+        and not any(p.run.requires_gpu_machine for p in machine.placements.values())
     )
 
 
@@ -176,7 +182,8 @@
         now - machine.idle_since > idle_limit
         and now - machine.scaled_out_at > MIN_CHARGED_DURATION
         and not any(
-            allows_machine(spec, machine) and machine.count_fitting_tasks(spec, cluster_state.max_cpus_per_gpu) > 0
+            allows_machine(spec, machine)
+            and machine.count_fitting_tasks(spec, cluster_state.cpus_reserved_per_gpu(spec)) > 0
             for spec in waiting_specs
         )
     ):
--- a/roseweir/forecast/capacity_plan.py
+++ b/roseweir/forecast/capacity_plan.py
@@ -186,15 +186,13 @@
 def _units_per_machine(cluster_state: ClusterState, spec: JobSpec, machine_type: MachineType) -> float:
     """Units that the tasks fitting on an empty machine of this type use."""
     return Machine("", machine_type, "", False).count_fitting_tasks(
-        spec, cluster_state.max_cpus_per_gpu
+        spec, cluster_state.cpus_reserved_per_gpu(spec)
     ) * units_per_task(spec)
 
 
 def _wastes_gpus(cluster_state: ClusterState, spec: JobSpec, machine_type: MachineType) -> bool:
     """Whether the type has GPUs that the job does not need, although the job fits a type without GPUs."""
-    return spec.gpus <= 0 < machine_type.gpus and any(
-        spec.fits_machine_type(k) for k in cluster_state.catalog.values() if k.gpus <= 0
-    )
+    return spec.gpus <= 0 < machine_type.gpus and not cluster_state.requires_gpu_machine(spec)
 
 
 def _may_keep(machine: Machine, capacity_plan: CapacityPlan, settings: PredictiveScalingSettings) -> bool:
--- a/roseweir/scheduler/cluster_state.py
+++ b/roseweir/scheduler/cluster_state.py
@@ -173,6 +173,7 @@
         run = self.jobs.get(spec.id)
         if run is None:
             run = self.jobs[spec.id] = new_job_run(spec, version)
+            run.requires_gpu_machine = self.requires_gpu_machine(spec)
             self.job_sizes.record(spec)
             if spec.job_type == SERVICE and spec.gpus > 0:
                 self.has_gpu_services = True
@@ -284,6 +285,16 @@
             self.needs_quota_update = True
             self.dirty_jobs.discard(run.spec.id)
 
+    def requires_gpu_machine(self, spec: JobSpec) -> bool:
+        """Whether the job needs no GPUs, and its tasks fit only machine types that have some: by memory, say."""
+        return spec.gpus <= 0 and not any(
+            machine_type.gpus <= 0 and spec.fits_machine_type(machine_type) for machine_type in self.catalog.values()
+        )
+
+    def cpus_reserved_per_gpu(self, spec: JobSpec) -> float:
+        """CPUs that a CPU-only job leaves free for each GPU of a machine; none if it can run nowhere else."""
+        return 0.0 if self.requires_gpu_machine(spec) else self.max_cpus_per_gpu
+
     def estimate_runtime(self, spec: JobSpec) -> timedelta:
         """Return the job's estimated runtime, corrected by the measured runtimes of its class."""
         return spec.estimated_duration * self.runtime_ratios.get(spec.job_class, 1.0)
--- a/roseweir/scheduler/model.py
+++ b/roseweir/scheduler/model.py
@@ -98,6 +98,7 @@
     is_gang_stopping: bool = False  # a gang that is being stopped: every member must be gone before it restarts
     hold_reason: str = ""  # why none of its tasks may start, regardless of free capacity; empty if it is not held
     is_within_quota: bool = False
+    requires_gpu_machine: bool = False  # as `ClusterState.requires_gpu_machine` found when the job was added
     has_started: bool = False  # one of its tasks has run, as far as this leader knows
     preemption_exempt_until: datetime = NEVER  # it is not preempted before this instant
     starvation_level: int = 0  # from its waiting time and size (`scheduler/starvation.py`)
--- a/roseweir/scheduler/reservations.py
+++ b/roseweir/scheduler/reservations.py
@@ -21,7 +21,9 @@
     cpus_per_gpu: dict[str, float]
     headroom_by_machine: dict[str, ReservedRoom] | None = None  # None: not reserved yet in this pass
     must_leave_headroom: bool = False  # the current job must not use the headroom
-    waives_gpu_reserve: bool = False  # the current job may use the CPUs for GPUs (`Headroom.may_waive_gpu_reserve`)
+    # The current job may use the CPUs for GPUs: it has waited for them (`Headroom.may_waive_gpu_reserve`), or it can
+    # run nowhere else (`JobRun.requires_gpu_machine`).
+    waives_gpu_reserve: bool = False
 
     @property
     def access_level(self) -> int:
--- a/roseweir/scheduler/scheduling_pass.py
+++ b/roseweir/scheduler/scheduling_pass.py
@@ -125,7 +125,7 @@
                 self.schedulable, cluster_state.low_latency_images
             )
         reservations.must_leave_headroom = must_leave_headroom
-        reservations.waives_gpu_reserve = cluster_state.headroom.may_waive_gpu_reserve(
+        reservations.waives_gpu_reserve = run.requires_gpu_machine or cluster_state.headroom.may_waive_gpu_reserve(
             run, cluster_state.highest_gpu_priority, self.now
         )
 
