--- a/roseweir/scheduler/scheduling_pass.py
+++ b/roseweir/scheduler/scheduling_pass.py
@@ -19,7 +19,12 @@
 from roseweir.scheduler.model import JobRun, Machine
 from roseweir.scheduler.preemption import expire_failed_preemptions, preempt_for_immediate_start, reserve_or_preempt
 from roseweir.scheduler.queue_order import build_queue
-from roseweir.scheduler.quota import mark_within_quota, startup_limit_source, tasks_within_team_limit
+from roseweir.scheduler.quota import (
+    mark_within_quota,
+    max_concurrent_tasks,
+    startup_limit_source,
+    tasks_within_team_limit,
+)
 from roseweir.scheduler.reservations import CapacityReservations, reserved_cpus_per_gpu
 from roseweir.scheduler.starvation import NOT_STARVING, PREEMPTION_PROTECTION_DURATION
 from roseweir.scheduler.task_placement import candidate_machines, place_tasks
@@ -69,7 +74,13 @@
         pending_tasks = run.pending_count
         if run.first_waited_at == NEVER:
             run.first_waited_at = now
-        claims_team_limit = is_gang and not run.placements and not run.is_crash_looping
+        claims_team_limit = (
+            is_gang
+            and not run.placements
+            and not run.is_crash_looping
+            # A gang beyond the whole limit never starts: the settings have changed since it was accepted.
+            and pending_tasks <= max_concurrent_tasks(cluster_state, spec)
+        )
         tasks_within_limit = self._claim_team_limit(spec, pending_tasks, claims_team_limit)
         if is_gang and tasks_within_limit < pending_tasks:
             return
--- a/roseweir/submissions/jobs/__init__.py
+++ b/roseweir/submissions/jobs/__init__.py
@@ -4,6 +4,7 @@
 from roseweir.submissions.jobs.model import (
     ARRAY,
     GANG,
+    MAX_TASKS_PER_JOB,
     SERVICE,
     CompletedJob,
     JobSpec,
@@ -29,6 +30,7 @@
     "COMPLETED_TASKS_PREFIX",
     "GANG",
     "LIVE_JOB_PREFIX",
+    "MAX_TASKS_PER_JOB",
     "SERVICE",
     "TASKS_PER_CHUNK",
     "CompletedJob",
--- a/roseweir/submissions/jobs/model.py
+++ b/roseweir/submissions/jobs/model.py
@@ -70,6 +70,7 @@
     msgspec.Struct,
     frozen=True,
     omit_defaults=True,
+MAX_TASKS_PER_JOB = 100_000  # as the users' API allows
     rename={
         "job_type": "kind",
         "task_count": "tasks",
@@ -133,6 +134,8 @@
     def estimated_duration(self) -> timedelta:
         """How long a task takes, as the user estimates it."""
         return seconds(self.estimated_duration_s)
+        if not 1 <= self.task_count <= MAX_TASKS_PER_JOB:
+            raise ValueError(f"a job has 1 to {MAX_TASKS_PER_JOB} tasks, not {self.task_count}")
 
     @property
     def saves_when_stopped(self) -> bool:
@@ -199,7 +202,7 @@
             team=self.team,
             job_type=ARRAY,
             priority=3,
-            task_count=self.task_count,
+            task_count=min(max(self.task_count, 1), MAX_TASKS_PER_JOB),
             cpus=self.cpus,
             gpus=self.gpus,
             memory_gb=self.memory_gb,
--- a/roseweir/submissions/messages.py
+++ b/roseweir/submissions/messages.py
@@ -6,7 +6,7 @@
 from msgspec import Meta
 
 from roseweir.bounds import MAX_AMOUNT
-from roseweir.submissions.jobs import JobSpec, JobType, StoredDependencies
+from roseweir.submissions.jobs import MAX_TASKS_PER_JOB, JobSpec, JobType, StoredDependencies
 
 # `\Z` matches only at the end; `$` would allow a trailing line break, which a key of the store can't contain.
 JOB_ID = r"^j-[0-9]{1,18}\Z"
@@ -49,7 +49,7 @@
     team: Annotated[str, Meta(max_length=200)]
     job_type: Literal["sweep", "gang", "daemon"]
     priority: Literal["critical", "urgent", "normal", "low"]
-    task_count: Annotated[int, Meta(ge=1, le=100_000)]
+    task_count: Annotated[int, Meta(ge=1, le=MAX_TASKS_PER_JOB)]
     cpus: NonNegativeNumber
     gpus: NonNegativeNumber
     memory_gb: NonNegativeNumber
--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from datetime import timedelta
 from typing import Any
@@ -20,7 +20,12 @@
 from roseweir.dependencies.slack import latest_start_times, slack_of_jobs_at_risk
 from roseweir.submissions.jobs import LIVE_JOB_PREFIX, model
 from roseweir.submissions.messages import Submission
-from tests.simulation.cluster import TEAM_GPU_LIMIT, SimulatedCluster, raise_first_failure, virtual_now
+from tests.simulation.cluster import (
+    TEAM_GPU_LIMIT,
+    SimulatedCluster,
+    raise_first_failure,
+    virtual_now,
+)
 from tests.simulation.job_specs import make_job_spec as job_spec
 from tests.simulation.machine_faults import MAX_WAIT_S, cancel_until_confirmed
 from tests.test_scheduler import make_cluster_state
@@ -289,12 +294,9 @@
 
     async def act(_: SimulatedCluster) -> None:
         for job in extreme:
-            cluster.jobs[job["name_id"]] = job
+            store_job(cluster, job)
             cluster.accepted_jobs.add(job["name_id"])
-            cluster.externally_changed_jobs.add(job["name_id"])
             cluster.run_time_by_job[job["name_id"]] = 10.0
-            cluster.kv_store.revision += 1
-            cluster.kv_store.apply_change(LIVE_JOB_PREFIX + job["name_id"], stored_unchanged(job), None)
         await cluster.wait_for_leader()
         sound = jobs_of_all_types(11)
         for job in sound:
@@ -323,6 +325,15 @@
     }
 
 
+def store_job(cluster: SubmissionsCluster, job: dict[str, Any], stored_fields: dict[str, Any] | None = None) -> None:
+    """Add the record of a job that a controller accepted earlier, with some of its stored fields replaced."""
+    job_id = job["name_id"]
+    cluster.jobs[job_id] = job
+    cluster.externally_changed_jobs.add(job_id)
+    cluster.kv_store.revision += 1
+    cluster.kv_store.apply_change(LIVE_JOB_PREFIX + job_id, stored_unchanged(job) | (stored_fields or {}), None)
+
+
 def test_lateness_beyond_the_range_of_durations_has_a_time_budget() -> None:
     """The path of an array that its team's limit splits into 100,000 waves is longer than `timedelta` can represent."""
     cluster_state = make_cluster_state()
@@ -352,3 +363,73 @@
     monkeypatch.setattr(model, "bounded_amount", lambda value: value)
     cluster = run_beside_sound_jobs({field: SMALLEST_NUMBER})
     assert cluster.rule_violations or cluster.errors
+
+
+# -- numbers from stored records, the cloud, workers and settings ---------------------------------------
+
+
+def run_with_sound_jobs(
+    caplog: pytest.LogCaptureFixture,
+    prepare: Callable[[SubmissionsCluster], None] = lambda cluster: None,
+    params_override: dict[str, Any] | None = None,
+    expected_errors: int = 0,
+    **common_fields: Any,
+) -> SubmissionsCluster:
+    """Run sound jobs of each type, with and without GPUs, after `prepare`: under one leader, no other error logged."""
+    cluster = SubmissionsCluster(params_override=params_override)
+
+    async def act(_: SimulatedCluster) -> None:
+        prepare(cluster)
+        await cluster.wait_for_leader()
+        sound = jobs_of_all_types(11, **common_fields) + jobs_of_all_types(21, accelerators=1.0, **common_fields)
+        for job in sound:
+            assert await cluster.submit(job)
+        await cluster.wait_until_run([job["name_id"] for job in sound])
+        cluster.check_terms(1)
+        cluster.is_over = True
+
+    cluster.schedule_action(act)
+    caplog.clear()
+    with caplog.at_level(logging.INFO):
+        cluster.run(length_s=200.0, job_count=0)
+    errors = {r.getMessage() for r in caplog.records if r.exc_info or r.levelno >= logging.ERROR}
+    assert len(errors) == expected_errors, errors
+    raise_first_failure(cluster)
+    assert cluster.is_over
+    return cluster
+
+
+STORED_NUMBERS = {
+    "accepted_ms": (-(10**18), 10**18),
+    "priority": (-(10**18), 10**18),
+    "cpus": (-1e300, 1e300),
+    "gpus": (-1e300, 1e-300, 1e300),
+    "memory_gb": (-1e300, 1e-300, 1e300),
+    "image_gb": (-1e300, 1e-300, 1e300),
+    "estimate_s": (-1e300, 1e300),
+    "checkpoint_s": (-1e300, 1e300),
+    "save_s": (-1e300, 1e300),
+    "deadline_s": (-1e300, 1e300),
+}
+
+
+@pytest.mark.parametrize(
+    ("field", "value"), [(field, value) for field, values in STORED_NUMBERS.items() for value in values]
+)
+def test_no_number_in_a_stored_job_ends_a_term(field: str, value: float, caplog: pytest.LogCaptureFixture) -> None:
+    """A new leader reads the records of all jobs; one that it can't calculate with ended its term, then each other."""
+
+    def store_jobs(cluster: SubmissionsCluster) -> None:
+        for job in jobs_of_all_types(1):
+            store_job(cluster, job, {field: value})
+
+    run_with_sound_jobs(caplog, store_jobs)
+
+
+@pytest.mark.parametrize("task_count", [-(10**18), -1, 0, 100_001, 10**15])
+def test_stored_job_with_an_impossible_task_count_is_held(task_count: int, caplog: pytest.LogCaptureFixture) -> None:
+    """A bitmap of that many tasks can't be allocated; the job is held, which one line in the log says."""
+
+    run_with_sound_jobs(
+        caplog, lambda cluster: store_job(cluster, submission(1), {"tasks": task_count}), expected_errors=1
+    )
