Numbers of the cloud's catalog are kept within what can be calculated with

What would be seen: a machine type with 0 cores ended each leader's term as soon as a machine of it was up and a job without cores waited (ZeroDivisionError in the placement score). Image fetch rates of 0 were guarded against in five places, with the same number.

Change: `MachineType` brings its numbers within bounds, as `JobSpec` does, and the fetch rate to the least that was assumed in those places. The ratios of measured to expected boot and fetch times, which later times are multiplied by, are at most 100: an image of some bytes takes a million times as long as the catalog says.

Measured: `test_no_number_in_the_catalog_ends_a_term`, 19 numbers with a machine of the type up: one (`cores` of 0) fails before, none after; `test_no_age_of_a_listed_machine_ends_a_term` passes before and after this commit, as the bounds of `clock.seconds` cover it.

--- a/roseweir/forecast/capacity_plan.py
+++ b/roseweir/forecast/capacity_plan.py
@@ -81,7 +81,7 @@
             boot_s = machine_type.boot_s * late_ratio(boot_ratios.get(machine_type.name, []), DEFAULT_BOOT_RATIO)
             fetch_s = (
                 image_gb
-                / max(machine_type.fetch_gb_per_s, 0.01)
+                / machine_type.fetch_gb_per_s
                 * late_ratio(fetch_ratios.get(machine_type.name, []), DEFAULT_FETCH_RATIO)
             )
             longest_s = max(longest_s, boot_s + fetch_s)
--- a/roseweir/forecast/tools/replay.py
+++ b/roseweir/forecast/tools/replay.py
@@ -321,7 +321,7 @@
         if spec.image and not (spec.image in machine.image_cache and key in self._image_ready_at):
             rng = np.random.default_rng([self.seed, 3, int(machine.name[2:]), len(machine.image_cache)])
             factor = float(rng.uniform(*FETCH_FACTOR_RANGE))
-            fetch_s = spec.image_gb / max(machine.machine_type.fetch_gb_per_s, 0.01) * factor
+            fetch_s = spec.image_gb / machine.machine_type.fetch_gb_per_s * factor
             fetch_ratios = self.cluster_state.image_fetch_ratios.setdefault(
                 machine.machine_type.name, deque(maxlen=MAX_RATIO_SAMPLES)
             )
--- a/roseweir/rebalancing/move_planning.py
+++ b/roseweir/rebalancing/move_planning.py
@@ -112,9 +112,7 @@
 def move_downtime_s(cluster_state: ClusterState, spec: JobSpec, target_machine: Machine) -> float:
     """Downtime of a replica that moves to the target machine, in seconds."""
     fetch_s = (
-        0.0
-        if target_machine.has_image(spec.image)
-        else spec.image_gb / max(target_machine.machine_type.fetch_gb_per_s, 0.01)
+        0.0 if target_machine.has_image(spec.image) else spec.image_gb / target_machine.machine_type.fetch_gb_per_s
     )
     return cluster_state.settings.params.workers.heartbeat_interval_s * DOWNTIME_HEARTBEATS + fetch_s
 
--- a/roseweir/scheduler/heartbeat_reconciliation.py
+++ b/roseweir/scheduler/heartbeat_reconciliation.py
@@ -38,6 +38,8 @@
 
 # Samples kept of a machine type's boot and image fetch times, to predict the next ones.
 MAX_RATIO_SAMPLES = 20
+# Bound of these samples: an image of a few bytes takes a million times as long as by the catalog's rate.
+MAX_TIME_RATIO = 100.0
 _ADDRESS_PATTERN = re.compile(r"[^\s/:]+:[0-9]{1,5}")
 
 
@@ -99,7 +101,7 @@
         if machine.is_booting and machine.is_autoscaled and machine.scaled_out_at > NEVER:
             boot_ratio = (now - machine.scaled_out_at) / max(machine_type.boot_duration, seconds(1))
             cluster_state.boot_ratios.setdefault(machine_type.name, deque(maxlen=MAX_RATIO_SAMPLES)).append(
-                (now, boot_ratio)
+                (now, min(boot_ratio, MAX_TIME_RATIO))
             )
         if machine.is_booting or machine.incarnation == 0:
             machine.idle_since = now if not machine.placements else NEVER
@@ -304,7 +306,7 @@
         self, machine_type: MachineType, spec: JobSpec, fetch_time: timedelta, now: datetime
     ) -> None:
         cluster_state = self.cluster_state
-        expected_seconds = spec.image_gb / max(machine_type.fetch_gb_per_s, 0.01)
+        expected_seconds = spec.image_gb / machine_type.fetch_gb_per_s
         if expected_seconds > 0:
             samples = cluster_state.image_fetch_ratios.setdefault(machine_type.name, deque(maxlen=MAX_RATIO_SAMPLES))
-            samples.append((now, fetch_time.total_seconds() / expected_seconds))
+            samples.append((now, min(fetch_time.total_seconds() / expected_seconds, MAX_TIME_RATIO)))
--- a/roseweir/scheduler/preemption.py
+++ b/roseweir/scheduler/preemption.py
@@ -24,8 +24,6 @@
 MACHINE_RESERVATION_DURATION = timedelta(seconds=15)
 # The interval between two searches for tasks to preempt.
 PREEMPTION_RETRY_INTERVAL = timedelta(milliseconds=500)
-# Lower bound of the assumed image fetch rate, against division by zero.
-MIN_FETCH_GB_PER_S = 0.01
 
 
 class Slot(NamedTuple):
@@ -285,11 +283,7 @@
         return slots
     victims = _preemptible_placements(cluster_state, run, machine, now, cpu_only)
     # On a machine without the image the job starts later by the fetch time, which is often the longest wait.
-    fetch_s = (
-        0.0
-        if machine.has_image(spec.image)
-        else spec.image_gb / max(machine.machine_type.fetch_gb_per_s, MIN_FETCH_GB_PER_S)
-    )
+    fetch_s = 0.0 if machine.has_image(spec.image) else spec.image_gb / machine.machine_type.fetch_gb_per_s
     victims.sort(
         key=lambda p: (p.run.spec.job_type == GANG, p.run.is_within_quota, -p.run.priority, _lost_work_s(p, now))
     )
--- a/roseweir/scheduler/task_placement.py
+++ b/roseweir/scheduler/task_placement.py
@@ -83,7 +83,7 @@
     low_latency_image_penalty = (
         0.0 if spec.image in snapshot.cluster_state.low_latency_images else snapshot.low_latency_image_penalty(machine)
     )
-    capacity_left = machine.free_gpus if spec.gpus > 0 else machine.free_cpus / machine.machine_type.cpus
+    capacity_left = machine.free_gpus if spec.gpus > 0 else machine.free_cpu_fraction
     policy = snapshot.cluster_state.active_placement_policy
     if policy is not None and spec.gpus > 0:
         # Fragmentation ranks before the image: GPUs stay fragmented for longer than a fetch takes. Among machines that
--- a/roseweir/submissions/jobs/model.py
+++ b/roseweir/submissions/jobs/model.py
@@ -14,8 +14,17 @@
 SERVICE: JobType = "service"
 
 
+# Assumed for slower image fetches, and for a catalog that gives no rate: GB are divided by it.
+MIN_FETCH_GB_PER_S = 0.01
+
+_MACHINE_AMOUNT_FIELDS = ("cpus", "gpus", "memory_gb", "cache_gb", "fetch_gb_per_s", "price", "spot_price")
+
+
 class MachineType(msgspec.Struct, frozen=True):
-    """A machine type of the cloud provider's catalog. Prices are per hour, as in the catalog."""
+    """A machine type of the cloud provider's catalog, with numbers within the bounds of `roseweir.bounds`.
+
+    Prices are per hour, as in the catalog; `fetch_gb_per_s` is at least `MIN_FETCH_GB_PER_S`.
+    """
 
     name: str
     cpus: float
@@ -28,6 +37,11 @@
     boot_s: float
     zones: tuple[str, ...]
 
+    def __post_init__(self) -> None:
+        bound_fields(self, _MACHINE_AMOUNT_FIELDS, bounded_amount)
+        bound_fields(self, ("fetch_gb_per_s",), lambda rate: max(rate, MIN_FETCH_GB_PER_S))
+        bound_fields(self, ("boot_s",), bounded_duration_s)
+
     @property
     def boot_duration(self) -> timedelta:
         """How long a machine of this type takes to boot, as the catalog gives it."""
--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -12,17 +12,22 @@
 from typing import Any
 
 import msgspec
+import orjson
 import pytest
 
 from roseweir.clock import ZERO, seconds
 from roseweir.cloud.scale_out import time_budget
 from roseweir.dependencies.graph import DependencyGraph
 from roseweir.dependencies.slack import latest_start_times, slack_of_jobs_at_risk
+from roseweir.http import Reply
 from roseweir.submissions.jobs import LIVE_JOB_PREFIX, model
 from roseweir.submissions.messages import Submission
 from tests.simulation.cluster import (
+    MACHINE_TYPES,
     TEAM_GPU_LIMIT,
+    ZONES,
     SimulatedCluster,
+    json_reply,
     raise_first_failure,
     virtual_now,
 )
@@ -433,3 +438,58 @@
     run_with_sound_jobs(
         caplog, lambda cluster: store_job(cluster, submission(1), {"tasks": task_count}), expected_errors=1
     )
+
+
+CATALOG_NUMBERS = {
+    "cores": (0.0, 1e-320, 1e300),
+    "memory_gb": (0.0, 1e300),
+    "cache_gb": (0.0, 1e300),
+    "fetch_gb_per_s": (0.0, 1e-320, 1e300),
+    "price": (0.0, 1e-320, 1e300),
+    "low_price": (0.0, 1e-320, 1e300),
+    "ready_s": (0.0, 1e-320, 1e300),
+}
+
+
+@pytest.mark.parametrize(
+    ("field", "value"), [(field, value) for field, values in CATALOG_NUMBERS.items() for value in values]
+)
+def test_no_number_in_the_catalog_ends_a_term(
+    field: str, value: float, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """One of the machine types has an extreme number, and a machine of it is up; some jobs need no CPUs."""
+    resources = {"cores": 8.0, "accelerators": 0.0, "memory_gb": 32.0}
+    monkeypatch.setitem(MACHINE_TYPES, "odd", resources | ({field: value} if field in resources else {}))
+
+    def falsify_catalog(cluster: SubmissionsCluster) -> None:
+        answer_request = cluster.cloud.handle
+
+        async def answer_with_extreme_number(controller_name: str, method: str, path: str, body: Any) -> Reply:
+            reply = await answer_request(controller_name, method, path, body)
+            if path != "/catalog":
+                return reply
+            entries = orjson.loads(reply.body)["builds"]
+            return json_reply(200, {"builds": [e | ({field: value} if e["name"] == "odd" else {}) for e in entries]})
+
+        cluster.cloud.handle = answer_with_extreme_number  # type: ignore[method-assign]
+        cluster.cloud.rent_machine("odd", ZONES[0], is_spot=False)
+
+    for cpus in (1.0, 0.0):
+        run_with_sound_jobs(caplog, falsify_catalog, cores=cpus)
+
+
+@pytest.mark.parametrize("age_s", [-1e300, 0.0, 1e300])
+def test_no_age_of_a_listed_machine_ends_a_term(age_s: float, caplog: pytest.LogCaptureFixture) -> None:
+    def falsify_ages(cluster: SubmissionsCluster) -> None:
+        answer_request = cluster.cloud.handle
+
+        async def answer_with_age(controller_name: str, method: str, path: str, body: Any) -> Reply:
+            reply = await answer_request(controller_name, method, path, body)
+            if path.startswith("/machines?"):
+                listed = orjson.loads(reply.body)
+                return json_reply(200, listed | {"hosts": [m | {"held_s": age_s} for m in listed["hosts"]]})
+            return reply
+
+        cluster.cloud.handle = answer_with_age  # type: ignore[method-assign]
+
+    run_with_sound_jobs(caplog, falsify_ages)
