A heartbeat with a completed task that its job does not have is answered

What would be seen: a heartbeat that lists task 999999 of a job of three as completed ended its handler with an IndexError, so the worker got no answer, and lost its lease and all its tasks.

Cause: the answer looks the task up in the job's bitmap before it has the worker clear it. The application of the heartbeat checks the index, the answer did not.

Change: a task beyond the job's last is cleared at once.

Measured: `test_no_number_in_a_heartbeat_is_an_error` fails before and passes after.

--- a/roseweir/scheduler/cluster_state.py
+++ b/roseweir/scheduler/cluster_state.py
@@ -475,13 +475,13 @@
         for task_name, attempt, cause in machine.exits_to_clear:
             job_id, _, index_text = task_name.rpartition("/")
             run = self.jobs.get(job_id)
-            must_keep_exit = (
-                cause == wire.DONE and run is not None and not run.final_state and run.spec.job_type != SERVICE
-            )
             if (
-                must_keep_exit
+                cause == wire.DONE
                 and run is not None
-                and (int(index_text) in run.uncommitted_completions or not run.is_completed(int(index_text)))
+                and not run.final_state
+                and run.spec.job_type != SERVICE
+                and int(index_text) < run.spec.task_count
+                and not run.is_durably_completed(int(index_text))
             ):
                 continue  # the completion must be durable before the worker may discard it
             commands.append(wire.clear_command(task_name, attempt))
--- a/roseweir/scheduler/model.py
+++ b/roseweir/scheduler/model.py
@@ -124,6 +124,10 @@
         """Whether the task completed, durably or not yet."""
         return bool(self.completion_bitmap[index >> 3] & (1 << (index & 7)))
 
+    def is_durably_completed(self, index: int) -> bool:
+        """Whether the task completed, and the key-value store holds its completion."""
+        return self.is_completed(index) and index not in self.uncommitted_completions
+
     def mark_completed(self, index: int) -> bool:
         """Mark the task as completed; return whether this is a change."""
         if self.is_completed(index):
--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -20,8 +20,10 @@
 from roseweir.dependencies.graph import DependencyGraph
 from roseweir.dependencies.slack import latest_start_times, slack_of_jobs_at_risk
 from roseweir.http import Reply
+from roseweir.scheduler.heartbeat_reconciliation import HeartbeatReconciler
 from roseweir.submissions.jobs import LIVE_JOB_PREFIX, model
 from roseweir.submissions.messages import Submission
+from roseweir.workers.messages import TaskStatus
 from tests.simulation.cluster import (
     MACHINE_TYPES,
     TEAM_GPU_LIMIT,
@@ -33,7 +35,7 @@
 )
 from tests.simulation.job_specs import make_job_spec as job_spec
 from tests.simulation.machine_faults import MAX_WAIT_S, cancel_until_confirmed
-from tests.test_scheduler import make_cluster_state
+from tests.test_scheduler import NOW, FakeWorker, make_cluster_state
 
 LARGEST_NUMBER = 1e12  # accepted by the users' API
 # Beyond the range of `timedelta`, and of `datetime` as a sum with an instant: found by the review (300 s as 3e11 ns).
@@ -493,3 +495,16 @@
         cluster.cloud.handle = answer_with_age  # type: ignore[method-assign]
 
     run_with_sound_jobs(caplog, falsify_ages)
+
+
+def test_no_number_in_a_heartbeat_is_an_error() -> None:
+    """The largest numbers that a heartbeat may hold, and a completed task that its job does not have."""
+    cluster_state = make_cluster_state()
+    worker = FakeWorker(cluster_state, "i-1")
+    run = cluster_state.add_job(job_spec(1, task_count=3), 1)
+    worker.tasks["done", 1] = TaskStatus(f"{run.spec.id}/999999", 2**64 - 1, "exited", "done")
+    worker.tasks["running", 1] = TaskStatus(f"{run.spec.id}/1", 2**64 - 1, "running")
+    commands = worker.send_heartbeat(NOW)
+    assert [command["verb"] for command in commands] == ["clear", "halt"]
+    heartbeat = msgspec.structs.replace(worker.make_heartbeat(), reclaim_notice_s=1e9, sequence=2**64 - 1)
+    assert HeartbeatReconciler(cluster_state).apply_heartbeat(heartbeat, NOW) is cluster_state.machines[worker.name]
