Numbers in settings and in the operators' file are kept within bounds

What would be seen: `value_kb` of 1e308 in the settings kept a controller from starting (OverflowError). A duration of 1e13 s in the operators' file, or a number with 400 digits, was a traceback in place of the one line that says what is wrong. A pause of automatic replacement that doubles with each trip would leave the range of `timedelta` after some forty trips.

Change: quotas and rates of the settings are brought within the bounds of `roseweir.bounds`; a number above 1e12 in the operators' file is refused in one line; durations there are bounded as all others are (`clock.seconds`); the pause stops doubling long after it has reached its bound.

Measured: `test_no_number_in_the_settings_ends_a_term` (7 cases): one fails before, none after; `test_operators_number_that_is_too_large_is_refused_in_one_line`: 3 of 3 fail before, all pass after. The doubling pause is from reading; no test shows it.

--- a/roseweir/delivery_deadlines/settings.py
+++ b/roseweir/delivery_deadlines/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from roseweir.calendars import Calendar
+from roseweir.clock import seconds
 from roseweir.sexp import SettingsError, read_form, read_number, read_string
 
 DEFAULT_FORECAST_QUANTILE = 0.8
@@ -66,7 +67,7 @@
             if len(set(policy.closed_weekdays)) == len(WEEKDAYS):
                 raise SettingsError("`closed` leaves no business day")
         elif name == "margin":
-            policy.risk_margin = timedelta(seconds=read_number(name, args))
+            policy.risk_margin = seconds(read_number(name, args))
         elif name == "quantile":
             policy.forecast_quantile = read_number(name, args, must_be_positive=True)
             if policy.forecast_quantile >= 1:
--- a/roseweir/drain/auto_replacement.py
+++ b/roseweir/drain/auto_replacement.py
@@ -41,6 +41,8 @@
 MIN_REPEATED_UNHEALTHY = 2
 MIN_BILLED_DURATION = timedelta(minutes=1)
 BOOT_DURATION_FACTOR = 1.5
+# The pause after further trips is doubled this many times at most; `brake_most` bounds it long before.
+MAX_BRAKE_DOUBLINGS = 64
 
 
 @dataclass(slots=True)
@@ -135,7 +137,8 @@
         breaker = self.circuit_breakers.setdefault((reason, machine_type), CircuitBreaker())
         if breaker.trip_count and wall_ms - breaker.open_until_ms > self.settings.brake_most.total_seconds() * 1000:
             breaker.trip_count = 0
-        open_duration = min(self.settings.brake * 2**breaker.trip_count, self.settings.brake_most)
+        doublings = min(breaker.trip_count, MAX_BRAKE_DOUBLINGS)
+        open_duration = min(seconds(self.settings.brake.total_seconds() * 2**doublings), self.settings.brake_most)
         breaker.open_until_ms = wall_ms + round(open_duration.total_seconds() * 1000)
         breaker.trip_count += 1
         breaker.reason = cause
--- a/roseweir/drain/settings.py
+++ b/roseweir/drain/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from roseweir.calendars import Calendar
+from roseweir.clock import seconds
 from roseweir.sexp import SettingsError, read_form, read_number, read_string
 
 
@@ -124,7 +125,7 @@
                 raise SettingsError(f"`{name}` must be above 0")
             setattr(settings, name.replace("-", "_"), share)
         elif name in _DURATION_NAMES:
-            setattr(settings, name, timedelta(seconds=read_number(name, args, must_be_positive=name == "deadline")))
+            setattr(settings, name, seconds(read_number(name, args, must_be_positive=name == "deadline")))
         elif name == "budget":
             settings.budgets.append(_parse_budget(args))
         elif name == "quiet":
@@ -145,7 +146,7 @@
         if name in _REPLACEMENT_DURATION_FIELDS:
             field, value = (
                 _REPLACEMENT_DURATION_FIELDS[name],
-                timedelta(seconds=read_number(name, args, must_be_positive=True)),
+                seconds(read_number(name, args, must_be_positive=True)),
             )
         elif name in _REPLACEMENT_COUNT_FIELDS:
             field, value = _REPLACEMENT_COUNT_FIELDS[name], _read_count(name, args, above_zero=name != "machines-a-day")
--- a/roseweir/forecast/settings.py
+++ b/roseweir/forecast/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from roseweir.calendars import Calendar
+from roseweir.clock import seconds
 from roseweir.sexp import SettingsError, read_form, read_number
 
 DAY = timedelta(days=1)
@@ -59,9 +60,9 @@
         name, args = read_form(entry)
         value: object
         if name == "slot":
-            value = timedelta(seconds=_read_slot_s(read_number(name, args, must_be_positive=True)))
+            value = seconds(_read_slot_s(read_number(name, args, must_be_positive=True)))
         elif name in _DURATION_FIELDS:
-            value = timedelta(seconds=read_number(name, args, must_be_positive=True))
+            value = seconds(read_number(name, args, must_be_positive=True))
         elif name in _POSITIVE_FIELDS or name in _NON_NEGATIVE_FIELDS:
             value = read_number(name, args, must_be_positive=name in _POSITIVE_FIELDS)
         elif name in _SHARE_FIELDS:
--- a/roseweir/rebalancing/settings.py
+++ b/roseweir/rebalancing/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from roseweir.clock import seconds
 from roseweir.sexp import SettingsError, read_form, read_number, read_string
 
 
@@ -31,7 +32,7 @@
                 raise SettingsError(f'`{name}` in `packing` is "on", "off" or "auto"')
             setattr(settings, name, text)
         elif name in ("after", "again"):
-            setattr(settings, name, timedelta(seconds=read_number(name, args)))
+            setattr(settings, name, seconds(read_number(name, args)))
         elif name == "at-once":
             value = read_number(name, args, must_be_positive=True)
             if value != int(value):
--- a/roseweir/scheduler/model.py
+++ b/roseweir/scheduler/model.py
@@ -294,15 +294,15 @@
         """Name of the machine's type in the catalog."""
         return self.machine_type.name
 
-    def has_image(self, image: str) -> bool:
-        """Whether the image is cached here, or being fetched for another task."""
-        if image in self.image_cache:
-            return True
     @property
     def free_cpu_fraction(self) -> float:
         """The fraction of its CPUs that is free; 0.0 for a machine type without CPUs, which the catalog may have."""
         return self.free_cpus / self.machine_type.cpus if self.machine_type.cpus > 0 else 0.0
 
+    def has_image(self, image: str) -> bool:
+        """Whether the image is cached here, or being fetched for another task."""
+        if image in self.image_cache:
+            return True
         if self._expected_images_change_count != self.change_count:
             self._expected_images_change_count = self.change_count
             self._expected_images = frozenset(
--- a/roseweir/settings.py
+++ b/roseweir/settings.py
@@ -8,6 +8,7 @@
 import orjson
 from msgspec import Meta
 
+from roseweir.bounds import bound_fields, bounded_amount
 from roseweir.clock import seconds
 from roseweir.sexp import SettingsError
 
@@ -44,6 +45,9 @@
     guaranteed_gpus: NonNegative = 0.0
     max_gpus: NonNegative = 0.0
 
+    def __post_init__(self) -> None:
+        bound_fields(self, ("guaranteed_cpus", "max_cpus", "guaranteed_gpus", "max_gpus"), bounded_amount)
+
     @property
     def has_guarantee(self) -> bool:
         """Whether the team has any guaranteed quota; one without is best-effort."""
@@ -167,12 +171,15 @@
     announced_limits: AnnouncedStoreLimits | None = None
 
     def __post_init__(self) -> None:
-        if self.announced_limits is None:
-            return
-        self.max_requests_per_s = _minimum(self.max_requests_per_s, self.announced_limits.max_requests_per_s)
-        self.max_writes_per_s = _minimum(self.max_writes_per_s, self.announced_limits.max_writes_per_s)
-        self.max_value_kib = _minimum(self.max_value_kib, self.announced_limits.max_value_kib)
-        self.max_txn_ops = _minimum(self.max_txn_ops, self.announced_limits.max_txn_ops)
+        if self.announced_limits is not None:
+            self._apply_announced_limits(self.announced_limits)
+        bound_fields(self, ("max_requests_per_s", "max_writes_per_s", "max_value_kib"), bounded_amount)
+
+    def _apply_announced_limits(self, announced_limits: AnnouncedStoreLimits) -> None:
+        self.max_requests_per_s = _minimum(self.max_requests_per_s, announced_limits.max_requests_per_s)
+        self.max_writes_per_s = _minimum(self.max_writes_per_s, announced_limits.max_writes_per_s)
+        self.max_value_kib = _minimum(self.max_value_kib, announced_limits.max_value_kib)
+        self.max_txn_ops = _minimum(self.max_txn_ops, announced_limits.max_txn_ops)
 
 
 Number = TypeVar("Number", int, float)
@@ -188,6 +195,9 @@
     max_requests_per_s: Positive
     listing_lag_s: NonNegative
 
+    def __post_init__(self) -> None:
+        bound_fields(self, ("max_requests_per_s",), bounded_amount)
+
     @property
     def listing_lag(self) -> timedelta:
         """The typical maximum age of the cloud's listing of machines; at times it is twice as old."""
--- a/roseweir/sexp.py
+++ b/roseweir/sexp.py
@@ -7,6 +7,8 @@
 
 import sexpdata
 
+from roseweir.bounds import MAX_AMOUNT
+
 
 class SettingsError(Exception):
     """Settings or arguments are not valid; the message is one line that describes the fault to the operator."""
@@ -35,7 +37,7 @@
 
 
 def read_number(name: str, args: list[Any], must_be_positive: bool = False) -> float:
-    """The only value of the form `name`, a number of at least 0, or above 0 if it must be positive.
+    """The only value of the form `name`, a number from 0 to `MAX_AMOUNT`, or above 0 if it must be positive.
 
     Raises:
         SettingsError: There is not exactly one value, or it is not such a number.
@@ -44,4 +46,6 @@
         raise SettingsError(f"`{name}` takes one number")
     if args[0] < 0 or (must_be_positive and args[0] == 0):
         raise SettingsError(f"`{name}` must be {'above' if must_be_positive else 'at least'} 0")
+    if not args[0] <= MAX_AMOUNT:
+        raise SettingsError(f"`{name}` must be at most {MAX_AMOUNT:g}")
     return float(args[0])
--- a/roseweir/submissions/jobs/model.py
+++ b/roseweir/submissions/jobs/model.py
@@ -70,6 +70,7 @@
         return bool(self.job_ids) or self.part_count > 0
 
 
+MAX_TASKS_PER_JOB = 100_000  # as the users' API allows
 # Tasks that take longer than this to save a checkpoint are stopped without it: their machine is needed for other work,
 # and what they lose is the time since their last periodic checkpoint.
 MAX_CHECKPOINT_DURATION_S = 600.0
@@ -84,7 +85,6 @@
     msgspec.Struct,
     frozen=True,
     omit_defaults=True,
-MAX_TASKS_PER_JOB = 100_000  # as the users' API allows
     rename={
         "job_type": "kind",
         "task_count": "tasks",
@@ -134,6 +134,8 @@
     depends_on: list[str] | StoredDependencies = []
 
     def __post_init__(self) -> None:
+        if not 1 <= self.task_count <= MAX_TASKS_PER_JOB:
+            raise ValueError(f"a job has 1 to {MAX_TASKS_PER_JOB} tasks, not {self.task_count}")
         bound_fields(self, _AMOUNT_FIELDS, bounded_amount)
         bound_fields(self, _DURATION_FIELDS, bounded_duration_s)
         if bounded_unix_ms(self.accepted_ms) != self.accepted_ms:
@@ -148,8 +150,6 @@
     def estimated_duration(self) -> timedelta:
         """How long a task takes, as the user estimates it."""
         return seconds(self.estimated_duration_s)
-        if not 1 <= self.task_count <= MAX_TASKS_PER_JOB:
-            raise ValueError(f"a job has 1 to {MAX_TASKS_PER_JOB} tasks, not {self.task_count}")
 
     @property
     def saves_when_stopped(self) -> bool:
--- a/roseweir/workflows/settings.py
+++ b/roseweir/workflows/settings.py
@@ -5,8 +5,11 @@
 
 import msgspec
 
+from roseweir.clock import seconds
 from roseweir.sexp import SettingsError, read_form, read_number, read_string
 
+SECONDS_PER_DAY = 24 * 3600
+
 
 class WorkflowSettings(
     msgspec.Struct,
@@ -67,9 +70,9 @@
             if len(args) != 2:
                 raise SettingsError("`intake` takes a number of amendments and a window in seconds")
             settings.max_amendments_per_window = read_number(name, args[:1], must_be_positive=True)
-            settings.intake_window = timedelta(seconds=read_number(name, args[1:], must_be_positive=True))
+            settings.intake_window = seconds(read_number(name, args[1:], must_be_positive=True))
         elif name == "keep-days":
-            settings.retention = timedelta(days=read_number(name, args, must_be_positive=True))
+            settings.retention = seconds(read_number(name, args, must_be_positive=True) * SECONDS_PER_DAY)
         else:
             raise SettingsError(f"unknown name `{name}` in `chain`")
     if settings.delivery_class and settings.step_order and settings.group_index(settings.delivery_class) is None:
--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -14,13 +14,16 @@
 import msgspec
 import orjson
 import pytest
+import sexpdata
 
 from roseweir.clock import ZERO, seconds
 from roseweir.cloud.scale_out import time_budget
 from roseweir.dependencies.graph import DependencyGraph
 from roseweir.dependencies.slack import latest_start_times, slack_of_jobs_at_risk
 from roseweir.http import Reply
+from roseweir.operator_config import parse_operator_config
 from roseweir.scheduler.heartbeat_reconciliation import HeartbeatReconciler
+from roseweir.sexp import SettingsError
 from roseweir.submissions.jobs import LIVE_JOB_PREFIX, model
 from roseweir.submissions.messages import Submission
 from roseweir.workers.messages import TaskStatus
@@ -497,6 +500,30 @@
     run_with_sound_jobs(caplog, falsify_ages)
 
 
+EXTREME_PARAMS: dict[str, dict[str, Any]] = {
+    "store rates": {"state": {"rps": 1e308, "write_rps": 1e308, "value_kb": 8.0, "txn_ops": 24}},
+    "store value size": {"state": {"rps": 200.0, "write_rps": 100.0, "value_kb": 1e308, "txn_ops": 24}},
+    "cloud": {"cloud": {"rps": 1e308, "list_lag_s": 1e308}},
+    "processes": {"limits": {"cpu": 1e308, "ram_mb": 1e308, "sockets": 2**62}},
+    "clock skew": {"skew_ms": 1e308},
+    "large quotas": {
+        "teams": [{"name": "t0", "cpus": 1e308, "cpus_max": 1e308, "gpus": 1e308, "gpus_max": 1e308}, {"name": "t1"}]
+    },
+    "objectives": {
+        "objectives": [
+            {"kind": "wait", "class": "x", "within_s": 1e308, "share": 0.9},
+            {"kind": "finished", "class": "x", "within_s": -1e308, "share": 0.9},
+            {"kind": "guarantee", "within_s": 1e-320, "share": 0.9},
+        ]
+    },
+}
+
+
+@pytest.mark.parametrize("params", EXTREME_PARAMS)
+def test_no_number_in_the_settings_ends_a_term(params: str, caplog: pytest.LogCaptureFixture) -> None:
+    run_with_sound_jobs(caplog, params_override=EXTREME_PARAMS[params])
+
+
 def test_no_number_in_a_heartbeat_is_an_error() -> None:
     """The largest numbers that a heartbeat may hold, and a completed task that its job does not have."""
     cluster_state = make_cluster_state()
@@ -508,3 +535,9 @@
     assert [command["verb"] for command in commands] == ["clear", "halt"]
     heartbeat = msgspec.structs.replace(worker.make_heartbeat(), reclaim_notice_s=1e9, sequence=2**64 - 1)
     assert HeartbeatReconciler(cluster_state).apply_heartbeat(heartbeat, NOW) is cluster_state.machines[worker.name]
+
+
+@pytest.mark.parametrize("text", ["1e13", "1e999", "1" + "0" * 400])
+def test_operators_number_that_is_too_large_is_refused_in_one_line(text: str) -> None:
+    with pytest.raises(SettingsError, match="must be at most"):
+        parse_operator_config(sexpdata.parse(f"(disruption (soon {text}))"))
