A machine takes no more tasks than its heartbeats and their answers can list

What callers saw: after a submission of 100,000 tasks of 0.0001 cores (accepted with 201) a job of another team was not started for 120 s, the machine's lease expired again and again with up to 10,385 tasks, and the leader changed: the pass placed all tasks on one machine, their answer has more than the 64 KiB that the protocol allows, and the worker can't report them. 2,500 tasks of 0.04 cores on a machine of 64 cores do the same to the machine.

Cause: nothing bounded the tasks on a machine but their resources, which may be as small as a user likes, or zero.

Change: a machine has 400 task slots, by the longest entry of a heartbeat and the longest command; exited tasks that are still listed take theirs. Of the slots that other jobs leave, a job takes half at most: a long array would otherwise use all of them, and each of its tasks that ends makes way for its next one, beside free cores. That a job finds no room for want of slots alone is not remembered as "no room" for other jobs of its size.

In virtual time: `test_tiny_tasks_leave_room_in_messages_and_on_machines`, the sizes of all messages checked; array and service, 4 of 4 fail before ("answer of 80204 bytes"), all pass after.

--- a/roseweir/scheduler/capacity_snapshot.py
+++ b/roseweir/scheduler/capacity_snapshot.py
@@ -51,10 +51,11 @@
 class FreeCapacity:
     """Free resources of a machine, to which those of its tasks can be added as if the tasks had ended."""
 
-    __slots__ = ("cpus", "gpus", "memory_gb")
+    __slots__ = ("cpus", "gpus", "memory_gb", "task_slots")
 
     def __init__(self, machine: Machine) -> None:
         self.cpus, self.gpus, self.memory_gb = machine.free_cpus, machine.free_gpus, machine.free_memory_gb
+        self.task_slots = machine.free_task_slots
 
     def release(self, placement: Placement) -> None:
         """Add the task's resources to the free ones."""
@@ -62,10 +63,11 @@
         self.cpus += spec.cpus
         self.gpus += spec.gpus
         self.memory_gb += spec.memory_gb
+        self.task_slots += 1
 
     def task_capacity(self, spec: JobSpec) -> int:
         """Return how many tasks of the job fit into the free resources."""
-        return max_fitting_tasks(spec, self.cpus, self.gpus, self.memory_gb)
+        return min(max_fitting_tasks(spec, self.cpus, self.gpus, self.memory_gb), self.task_slots)
 
 
 class MachineWithRoom(NamedTuple):
@@ -90,6 +92,8 @@
         self._expected_ends_by_machine: dict[str, tuple[int, list[tuple[datetime, Placement]]]] = {}
         self._earliest_room_order: list[tuple[datetime, str, Machine]] | None = None
         self._estimated_durations: dict[JobRun, timedelta] = {}
+        # Jobs that have no room on some machine for want of task slots alone, which says nothing about other jobs.
+        self.slot_limited_job_ids: set[str] = set()
         # Task sizes for which no machine has room, by machine requirements and access level.
         self._full_sizes: dict[tuple[MachineRequirements, int], list[TaskSize]] = {}
 
--- a/roseweir/scheduler/model.py
+++ b/roseweir/scheduler/model.py
@@ -16,6 +16,11 @@
 # A replica that has run for this long shows that its service is not at fault.
 MIN_STABLE_RUNTIME = timedelta(seconds=10)
 
+# A heartbeat, and the line of its answer, hold 64 KiB. Of a task a heartbeat lists up to 140 bytes, with the longest
+# names and numbers that the protocol allows, and a command is shorter. Without a bound, a machine of 64 cores took
+# 1,600 tasks of 0.04 cores, which its worker could not report: its lease expired again and again.
+MAX_TASKS_PER_MACHINE = 400
+
 
 class PlacementPhase(IntEnum):
     """Progress of a task's start, as far as the leader knows."""
@@ -294,6 +299,11 @@
         """Name of the machine's type in the catalog."""
         return self.machine_type.name
 
+    @property
+    def free_task_slots(self) -> int:
+        """How many tasks its heartbeats have room for beside those that they list, exited ones included."""
+        return max(0, MAX_TASKS_PER_MACHINE - len(self.placements) - len(self.exits_to_clear))
+
     @property
     def free_cpu_fraction(self) -> float:
         """The fraction of its CPUs that is free; 0.0 for a machine type without CPUs, which the catalog may have."""
@@ -333,7 +343,24 @@
             free_cpus = min(
                 free_cpus, self.machine_type.cpus - self.machine_type.gpus * cpus_reserved_per_gpu - self.cpu_only_cpus
             )
-        return max_fitting_tasks(spec, free_cpus, self.free_gpus, self.free_memory_gb - headroom[1])
+        fitting_tasks = max_fitting_tasks(spec, free_cpus, self.free_gpus, self.free_memory_gb - headroom[1])
+        return self._limit_to_task_slots(spec, fitting_tasks)
+
+    def lacks_task_slots(self, spec: JobSpec) -> bool:
+        """Whether no task of the job may start here, whatever resources are free; another job's may."""
+        return self._limit_to_task_slots(spec, 1) < 1
+
+    def _limit_to_task_slots(self, spec: JobSpec, fitting_tasks: int) -> int:
+        """Return how many of the tasks that fit the job may start: half of the slots that other jobs leave are for it.
+
+        The other half is left for jobs that come later. An array of very small tasks would take all slots of a machine
+        that has room otherwise, and each of its tasks that ends makes way for its next one.
+        """
+        free_slots = self.free_task_slots
+        if (free_slots - len(self.placements)) // 2 >= fitting_tasks:
+            return fitting_tasks  # however many of the placements are the job's own
+        own_tasks = sum(job_id == spec.id for job_id, _ in self.placements)
+        return max(0, min(fitting_tasks, (free_slots - own_tasks) // 2))
 
 
 def max_fitting_tasks(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
--- a/roseweir/scheduler/scheduling_pass.py
+++ b/roseweir/scheduler/scheduling_pass.py
@@ -105,7 +105,7 @@
         # A crash-looping job gets no reservation, no preemption and no new machine.
         if placed_count < tasks_within_limit and not run.is_crash_looping:
             self.result.unplaced.append((run, tasks_within_limit - placed_count))
-            if not candidates and not avoided_limits:
+            if not candidates and not avoided_limits and spec.id not in self.snapshot.slot_limited_job_ids:
                 self.shapes_without_room.add(demand_shape)
             if placed_count < startable_tasks:
                 self._make_room(run, startable_tasks - placed_count)
--- a/roseweir/scheduler/task_placement.py
+++ b/roseweir/scheduler/task_placement.py
@@ -46,7 +46,11 @@
     for machine in machines:
         if machine.free_cpus < min_cpus or machine.free_gpus < min_gpus or machine.free_memory_gb < min_memory_gb:
             continue
-        if not allows_machine(spec, machine) or reservations.task_capacity(machine, spec) <= 0:
+        if not allows_machine(spec, machine):
+            continue
+        if reservations.task_capacity(machine, spec) <= 0:
+            if machine.lacks_task_slots(spec):
+                snapshot.slot_limited_job_ids.add(spec.id)
             continue
         no_machine_has_room = False
         if expected_end > reserved_from.get(machine.name, FOREVER) or is_reserved_for_other_job(
@@ -56,7 +60,7 @@
         if machine.name in run.failed_machines or any(limit.matches(spec, machine) for limit in avoided_limits):
             continue
         scored_machines.append((*_placement_score(snapshot, spec, machine), snapshot.rank(machine), machine))
-    if no_machine_has_room:
+    if no_machine_has_room and spec.id not in snapshot.slot_limited_job_ids:
         snapshot.record_full(spec, reservations.access_level)
     scored_machines.sort()
     return [scored[-1] for scored in scored_machines]
--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -20,9 +20,11 @@
 from roseweir.cloud.scale_out import time_budget
 from roseweir.dependencies.graph import DependencyGraph
 from roseweir.dependencies.slack import latest_start_times, slack_of_jobs_at_risk
-from roseweir.http import Reply
+from roseweir.http import Reply, Response
 from roseweir.operator_config import parse_operator_config
 from roseweir.scheduler.heartbeat_reconciliation import HeartbeatReconciler
+from roseweir.scheduler.model import MAX_TASKS_PER_MACHINE
+from roseweir.scheduler.scheduling_pass import run_scheduling_pass
 from roseweir.sexp import SettingsError
 from roseweir.submissions.jobs import LIVE_JOB_PREFIX, model
 from roseweir.submissions.messages import Submission
@@ -32,6 +34,7 @@
     TEAM_GPU_LIMIT,
     ZONES,
     SimulatedCluster,
+    SimulatedWorker,
     json_reply,
     raise_first_failure,
     virtual_now,
@@ -47,6 +50,7 @@
 BEYOND_FOREVER_S = 2.3e11  # from now on, an instant that `datetime` can represent, later than `clock.FOREVER`
 SMALLEST_NUMBER = 5e-324
 SHORTEST_DURATION_S = 1e-9  # shorter than `timedelta` can represent
+MAX_MESSAGE_BYTES = 64 * 1024  # of a request, and of a line of an answer
 JOB_TYPES = ("sweep", "gang", "daemon")
 
 Fields = dict[str, float]
@@ -110,6 +114,15 @@
     def draw_run_time_s(self, job: dict[str, Any]) -> float:
         return self.run_time_by_job.get(job["name_id"], self.run_time_s)
 
+    async def deliver_heartbeat(
+        self, worker: SimulatedWorker, controller_index: int, body: dict[str, Any]
+    ) -> Response | None:
+        self.check_rule(len(orjson.dumps(body)) <= MAX_MESSAGE_BYTES, f"heartbeat of {len(body['parcels'])} tasks")
+        response = await super().deliver_heartbeat(worker, controller_index, body)
+        answer_bytes = 0 if response is None else len(response.body)
+        self.check_rule(answer_bytes <= MAX_MESSAGE_BYTES, f"answer of {answer_bytes} bytes to a heartbeat")
+        return response
+
     async def wait_for_leader(self) -> None:
         while not any(c.service is not None and c.service.leader_term is not None for c in self.controllers):
             await asyncio.sleep(0.5)
@@ -161,6 +174,9 @@
         self.spawn(cancel_until_confirmed(self, job_id))
         return True
 
+    def started_jobs(self) -> set[str]:
+        return {t.job_id for _, t in self.active_tasks()} | {job_id for job_id, _ in self.completed_tasks}
+
     def check_terms(self, expected_count: int) -> None:
         self.check_rule(
             len(self.leader_by_term) == expected_count, f"{len(self.leader_by_term)} terms, expected {expected_count}"
@@ -297,6 +313,58 @@
     assert cluster.is_over
 
 
+TINY_TASKS: dict[str, dict[str, Any]] = {
+    "array": {"shape": "sweep", "parcels": 1500},
+    "service": {"shape": "daemon", "parcels": 600},
+}
+
+
+@pytest.mark.parametrize("cpus", [0.0, 0.001])
+@pytest.mark.parametrize("case", TINY_TASKS)
+def test_tiny_tasks_leave_room_in_messages_and_on_machines(
+    case: str, cpus: float, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Thousands of tiny tasks fit on a machine, but not into a heartbeat: its lease expired again and again."""
+    cluster = SubmissionsCluster()
+    # As long as the protocol allows, so that the messages are as long as they can be.
+    long_ids = [f"j-{10**17 + n:018d}" for n in range(2)]
+
+    async def act(_: SimulatedCluster) -> None:
+        cluster.cloud.boot_failure_probability = 0.0
+        await cluster.wait_for_leader()
+        for job_id in long_ids:
+            tiny = submission(0, cores=cpus, memory_gb=0.0, **TINY_TASKS[case]) | {"name_id": job_id}
+            assert await cluster.submit(tiny, run_time_s=10.0)
+        await asyncio.sleep(5.0)
+        sound = jobs_of_all_types(11) + jobs_of_all_types(21, cores=cpus, memory_gb=0.0)
+        for job in sound:
+            assert await cluster.submit(job)
+        await cluster.wait_until_run([job["name_id"] for job in sound])
+        deadline = virtual_now() + MAX_WAIT_S
+        while not cluster.started_jobs() >= set(long_ids) and virtual_now() < deadline:
+            await asyncio.sleep(0.5)
+        cluster.check_rule(cluster.started_jobs() >= set(long_ids), f"only {cluster.started_jobs()} have started")
+        cluster.check_terms(1)
+        cluster.is_over = True
+
+    cluster.schedule_action(act)
+    with no_errors_logged(caplog):
+        cluster.run(length_s=250.0, job_count=0)
+    raise_first_failure(cluster)
+    assert cluster.is_over
+
+
+def test_gang_of_tiny_tasks_is_spread_over_machines_that_can_report_it() -> None:
+    cluster_state = make_cluster_state()
+    for n in range(4):
+        FakeWorker(cluster_state, f"i-{n}").send_heartbeat(NOW)
+    gang = cluster_state.add_job(job_spec(1, job_type="gang", task_count=700, cpus=0.0, memory_gb=0.0), 1)
+    later = cluster_state.add_job(job_spec(2, task_count=4, cpus=0.0, memory_gb=0.0), 2)
+    run_scheduling_pass(cluster_state, NOW + seconds(1))
+    assert len(gang.placements) == 700 and len(later.placements) == 4
+    assert all(len(m.placements) <= MAX_TASKS_PER_MACHINE // 2 + 4 for m in cluster_state.machines.values())
+
+
 def test_stored_estimate_of_an_earlier_version_keeps_no_job_from_running(caplog: pytest.LogCaptureFixture) -> None:
     """An earlier version accepted the job and stored its number unchanged: it runs, and a repeat finds it."""
     cluster = SubmissionsCluster()
