--- a/roseweir/bounds.py
+++ b/roseweir/bounds.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import msgspec
 
@@ -40,9 +41,9 @@
     return min(max(value, 0), MAX_UNIX_MS)
 
 
-def bound_fields(record: msgspec.Struct, names: Iterable[str], bound: Callable[[float], float]) -> None:
+def bound_fields(record: msgspec.Struct, names: Iterable[str], bound: Callable[[Any], float]) -> None:
     """Replace the named fields of a record, frozen or not, by their bounded values; None is left as it is."""
     for name in names:
         value = getattr(record, name)
-        if value is not None and bound(value) != value:
-            msgspec.structs.force_setattr(record, name, bound(value))
+        if value is not None and (bounded := bound(value)) != value:
+            msgspec.structs.force_setattr(record, name, bounded)
--- a/roseweir/clock.py
+++ b/roseweir/clock.py
@@ -60,4 +60,4 @@
 
 def milliseconds(value: float) -> timedelta:
     """A duration given in milliseconds, bounded like that of `seconds`."""
-    return seconds(min(max(value, -_MAX_DURATION_S * 1000), _MAX_DURATION_S * 1000) / 1000)
+    return seconds(value / 1000)
--- a/roseweir/scheduler/model.py
+++ b/roseweir/scheduler/model.py
@@ -344,6 +344,8 @@
                 free_cpus, self.machine_type.cpus - self.machine_type.gpus * cpus_reserved_per_gpu - self.cpu_only_cpus
             )
         fitting_tasks = max_fitting_tasks(spec, free_cpus, self.free_gpus, self.free_memory_gb - headroom[1])
+        if 2 * (fitting_tasks + len(self.placements)) + len(self.exits_to_clear) <= MAX_TASKS_PER_MACHINE:
+            return fitting_tasks  # within half of the slots left, even if all placements are the job's own
         return self._limit_to_task_slots(spec, fitting_tasks)
 
     def lacks_task_slots(self, spec: JobSpec) -> bool:
@@ -356,11 +358,8 @@
         The other half is left for jobs that come later. An array of very small tasks would take all slots of a machine
         that has room otherwise, and each of its tasks that ends makes way for its next one.
         """
-        free_slots = self.free_task_slots
-        if (free_slots - len(self.placements)) // 2 >= fitting_tasks:
-            return fitting_tasks  # however many of the placements are the job's own
         own_tasks = sum(job_id == spec.id for job_id, _ in self.placements)
-        return max(0, min(fitting_tasks, (free_slots - own_tasks) // 2))
+        return max(0, min(fitting_tasks, (self.free_task_slots - own_tasks) // 2))
 
 
 def max_fitting_tasks(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
--- a/roseweir/submissions/jobs/model.py
+++ b/roseweir/submissions/jobs/model.py
@@ -138,8 +138,7 @@
             raise ValueError(f"a job has 1 to {MAX_TASKS_PER_JOB} tasks, not {self.task_count}")
         bound_fields(self, _AMOUNT_FIELDS, bounded_amount)
         bound_fields(self, _DURATION_FIELDS, bounded_duration_s)
-        if bounded_unix_ms(self.accepted_ms) != self.accepted_ms:
-            msgspec.structs.force_setattr(self, "accepted_ms", bounded_unix_ms(self.accepted_ms))
+        bound_fields(self, ("accepted_ms",), bounded_unix_ms)
 
     @property
     def dependencies(self) -> StoredDependencies:
