--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
 from datetime import timedelta
 from typing import Any
@@ -51,6 +51,7 @@
 SMALLEST_NUMBER = 5e-324
 SHORTEST_DURATION_S = 1e-9  # shorter than `timedelta` can represent
 MAX_MESSAGE_BYTES = 64 * 1024  # of a request, and of a line of an answer
+RUN_TIME_S = 3.0  # of a task, unless a test gives another
 JOB_TYPES = ("sweep", "gang", "daemon")
 
 Fields = dict[str, float]
@@ -105,14 +106,22 @@
 class SubmissionsCluster(SimulatedCluster):
     """A cluster without faults, whose users submit the jobs that a test gives it and wait until each has run."""
 
-    def __init__(self, seed: int = 1, run_time_s: float = 3.0, **options: Any) -> None:
-        super().__init__(seed, without_random_faults=True, **options)
-        self.run_time_s = run_time_s
+    def __init__(self, **options: Any) -> None:
+        super().__init__(seed=1, without_random_faults=True, **options)
         self.run_time_by_job: dict[str, float] = {}
-        self.statuses: dict[str, int] = {}
 
     def draw_run_time_s(self, job: dict[str, Any]) -> float:
-        return self.run_time_by_job.get(job["name_id"], self.run_time_s)
+        return self.run_time_by_job.get(job["name_id"], RUN_TIME_S)
+
+    def play(self, act: Callable[[SimulatedCluster], Coroutine[Any, Any, None]], max_length_s: float) -> None:
+        """Run `act`, which ends the day, in a cluster without other users; the result is not checked."""
+        self.schedule_action(act)
+        self.run(length_s=max_length_s, job_count=0)
+
+    def assert_held(self) -> None:
+        """No rule was broken, no controller failed, and the day was played to its end."""
+        raise_first_failure(self)
+        assert self.is_over
 
     async def deliver_heartbeat(
         self, worker: SimulatedWorker, controller_index: int, body: dict[str, Any]
@@ -141,7 +150,6 @@
                 break
             await asyncio.sleep(1.0)
         self.check_rule(status in (200, 201, 400, 422), f"{job_id} was answered {status} {answer}")
-        self.statuses[job_id] = status
         if status in (200, 201):
             self.accepted_jobs.add(job_id)
         return status in (200, 201)
@@ -184,12 +192,13 @@
 
 
 @contextmanager
-def no_errors_logged(caplog: pytest.LogCaptureFixture) -> Iterator[None]:
+def errors_logged(caplog: pytest.LogCaptureFixture, expected_count: int = 0) -> Iterator[None]:
+    """Check the number of different errors in the log."""
     caplog.clear()
     with caplog.at_level(logging.INFO):
         yield
-    errors = [r.getMessage() for r in caplog.records if r.exc_info or r.levelno >= logging.ERROR]
-    assert not errors, errors
+    errors = {r.getMessage() for r in caplog.records if r.exc_info or r.levelno >= logging.ERROR}
+    assert len(errors) == expected_count, errors
 
 
 def jobs_of_all_types(first_number: int, **fields: Any) -> list[dict[str, Any]]:
@@ -228,8 +237,7 @@
                 await cluster.wait_until_run([f"j-{51 + n:06d}" for n in range(len(JOB_TYPES))])
         cluster.is_over = True
 
-    cluster.schedule_action(act)
-    cluster.run(length_s=700.0, job_count=0)
+    cluster.play(act, max_length_s=700.0)
     return cluster
 
 
@@ -237,20 +245,18 @@
 @pytest.mark.parametrize("case", EXTREME_DURATIONS)
 def test_extreme_durations_keep_no_job_from_running(case: str, gpus: float, caplog: pytest.LogCaptureFixture) -> None:
     """A job with an estimate of 300 s in nanoseconds ended every leader's term: nothing was started (review/1)."""
-    with no_errors_logged(caplog):
+    with errors_logged(caplog):
         cluster = run_beside_sound_jobs(EXTREME_DURATIONS[case], accelerators=gpus)
-    raise_first_failure(cluster)
-    assert cluster.is_over
+    cluster.assert_held()
 
 
 @pytest.mark.parametrize("gpus", [0.0, 1.0])
 @pytest.mark.parametrize("case", EXTREME_AMOUNTS)
 def test_extreme_amounts_keep_no_job_from_running(case: str, gpus: float, caplog: pytest.LogCaptureFixture) -> None:
     """A machine holds more tasks of 1e-310 cores than a float can count: the quotient ended every leader's term."""
-    with no_errors_logged(caplog):
+    with errors_logged(caplog):
         cluster = run_beside_sound_jobs(EXTREME_AMOUNTS[case], accelerators=gpus)
-    raise_first_failure(cluster)
-    assert cluster.is_over
+    cluster.assert_held()
 
 
 @pytest.mark.parametrize("job_type", ["sweep", "gang"])
@@ -274,10 +280,8 @@
         cluster.check_terms(1)
         cluster.is_over = True
 
-    cluster.schedule_action(act)
-    cluster.run(length_s=350.0, job_count=0)
-    raise_first_failure(cluster)
-    assert cluster.is_over
+    cluster.play(act, max_length_s=350.0)
+    cluster.assert_held()
 
 
 GPU_JOBS_THAT_NEED_ALL_CPUS: dict[str, Fields] = {
@@ -306,11 +310,9 @@
         cluster.check_terms(1)
         cluster.is_over = True
 
-    cluster.schedule_action(act)
-    with no_errors_logged(caplog):
-        cluster.run(length_s=350.0, job_count=0)
-    raise_first_failure(cluster)
-    assert cluster.is_over
+    with errors_logged(caplog):
+        cluster.play(act, max_length_s=350.0)
+    cluster.assert_held()
 
 
 TINY_TASKS: dict[str, dict[str, Any]] = {
@@ -347,11 +349,9 @@
         cluster.check_terms(1)
         cluster.is_over = True
 
-    cluster.schedule_action(act)
-    with no_errors_logged(caplog):
-        cluster.run(length_s=250.0, job_count=0)
-    raise_first_failure(cluster)
-    assert cluster.is_over
+    with errors_logged(caplog):
+        cluster.play(act, max_length_s=250.0)
+    cluster.assert_held()
 
 
 def test_gang_of_tiny_tasks_is_spread_over_machines_that_can_report_it() -> None:
@@ -385,11 +385,9 @@
         cluster.check_terms(1)
         cluster.is_over = True
 
-    cluster.schedule_action(act)
-    with no_errors_logged(caplog):
-        cluster.run(length_s=200.0, job_count=0)
-    raise_first_failure(cluster)
-    assert cluster.is_over
+    with errors_logged(caplog):
+        cluster.play(act, max_length_s=200.0)
+    cluster.assert_held()
 
 
 def stored_unchanged(job: dict[str, Any]) -> dict[str, Any]:
@@ -452,7 +450,7 @@
     params_override: dict[str, Any] | None = None,
     expected_errors: int = 0,
     **common_fields: Any,
-) -> SubmissionsCluster:
+) -> None:
     """Run sound jobs of each type, with and without GPUs, after `prepare`: under one leader, no other error logged."""
     cluster = SubmissionsCluster(params_override=params_override)
 
@@ -466,15 +464,9 @@
         cluster.check_terms(1)
         cluster.is_over = True
 
-    cluster.schedule_action(act)
-    caplog.clear()
-    with caplog.at_level(logging.INFO):
-        cluster.run(length_s=200.0, job_count=0)
-    errors = {r.getMessage() for r in caplog.records if r.exc_info or r.levelno >= logging.ERROR}
-    assert len(errors) == expected_errors, errors
-    raise_first_failure(cluster)
-    assert cluster.is_over
-    return cluster
+    with errors_logged(caplog, expected_errors):
+        cluster.play(act, max_length_s=200.0)
+    cluster.assert_held()
 
 
 STORED_NUMBERS = {
