--- a/review/lib2/bed.py
+++ b/review/lib2/bed.py
@@ -251,6 +251,18 @@
         if worker is not None:
             worker.die()
 
+    def stop_machine(self, worker: Worker) -> None:
+        """Let a machine stop with all that is on it; the cloud lists it as running for 30 s more, then as failed."""
+        self.note(f"{worker.name} stops with all that is on it")
+        self._machine_gone(worker.name)
+        machine = self.cloud.machines.get(worker.name)
+        if machine is not None:
+            self.spawn(self._list_as_failed(machine))
+
+    async def _list_as_failed(self, machine: dict[str, Any]) -> None:
+        await asyncio.sleep(30.0)
+        machine["standing"] = "failed"
+
     def node_index(self, name: str | None) -> int | None:
         """The position of a controller by its name."""
         return next((n for n, node in enumerate(self.nodes) if node.name == name), None)
--- a/review/lib2/machine.py
+++ b/review/lib2/machine.py
@@ -74,8 +74,7 @@
     async def _run_loop(self) -> None:
         while True:
             await asyncio.sleep(0.02)
-            if self.is_hung:
-                continue
+            # A machine that hangs may go on within its lease only.
             if time.monotonic() - self.renewed_at > self.bed.workers_params["lease_s"]:
                 for task in self.tasks.values():
                     self.bed.note(f"{self.name}: {task.name} try {task.attempt} ends with the lease ({task.state})")
@@ -83,7 +82,7 @@
                 self.tenure += 1
                 self.renewed_at = time.monotonic()
                 self.changed.set()
-            for task in list(self.tasks.values()):
+            for task in [] if self.is_hung else list(self.tasks.values()):
                 self._advance(task)
 
     def _advance(self, task: Task) -> None:
